Workspace, value types and ports

Cause: the libraries' borders are the borders of parallel work, so they come first. Change: Maven workspace with formatter and linter as errors; clock, identifiers, result codes, events and invariants; tables, platform, fleet, group and engine ports; the interfaces in DESIGN.md.

--- /dev/null
+++ b/limpet-base/src/main/java/org/limpetring/base/HostId.java
@@ -0,0 +1,20 @@
+package org.limpetring.base;
+
+/** Name of one host in the platform's host list, and of the one upstream that runs on it. */
+public record HostId(String value) implements Comparable<HostId> {
+
+  /** Rejects a name that is empty, longer than {@link Names#MAX_LENGTH} or oddly spelled. */
+  public HostId {
+    Names.check("host", value);
+  }
+
+  @Override
+  public int compareTo(HostId other) {
+    return value.compareTo(other.value);
+  }
+
+  @Override
+  public String toString() {
+    return value;
+  }
+}
--- /dev/null
+++ b/limpet-base/src/main/java/org/limpetring/base/LogEvent.java
@@ -0,0 +1,95 @@
+package org.limpetring.base;
+
+import org.jboss.logging.Logger;
+import org.jboss.logging.MDC;
+
+/**
+ * Numbered structured log event.
+ *
+ * <p>1xxx process, 2xxx configuration, 3xxx membership, 4xxx groups and orders, 5xxx requests, 6xxx
+ * platform, 9xxx violated invariants. The catalogue in {@code docs/EVENTS.md} mirrors this enum.
+ */
+public enum LogEvent {
+  PROCESS_STARTED(1001, Logger.Level.INFO, "%s started, listening on %s"),
+  PROCESS_STOPPING(1002, Logger.Level.INFO, "stopping: %s"),
+  PROCESS_STOPPED(1003, Logger.Level.INFO, "stopped after %s ms, %s requests cut"),
+  SETTINGS_REJECTED(1004, Logger.Level.ERROR, "settings rejected: %s"),
+  UNEXPECTED_FAILURE(1005, Logger.Level.ERROR, "unexpected failure in %s: %s"),
+
+  CONFIG_IN_FORCE(2001, Logger.Level.INFO, "configuration generation %s in force"),
+  CONFIG_REJECTED(2002, Logger.Level.WARN, "configuration rejected: %s"),
+  CONFIG_OLDER_IGNORED(2003, Logger.Level.WARN, "ignored generation %s, older than %s"),
+
+  ROSTER_CHANGED(3001, Logger.Level.INFO, "roster epoch %s: %s"),
+  DAEMON_SUSPECTED(3002, Logger.Level.WARN, "daemon %s suspected: %s"),
+  DAEMON_CONFIRMED_LOST(3003, Logger.Level.WARN, "daemon %s confirmed lost"),
+  DAEMON_STALE(3004, Logger.Level.WARN, "cut off for %s ms, refusing new work"),
+  DAEMON_FRESH(3005, Logger.Level.INFO, "in contact again, taking new work"),
+  PEER_FRAME_REJECTED(3006, Logger.Level.WARN, "frame from %s rejected: %s"),
+  ROLE_GAINED(3007, Logger.Level.INFO, "role %s gained at epoch %s"),
+  ROLE_LOST(3008, Logger.Level.INFO, "role %s lost at epoch %s"),
+
+  PLAN_WRITTEN(4001, Logger.Level.INFO, "plan of fabric domain %s written at epoch %s"),
+  PLAN_CONFLICT(4002, Logger.Level.INFO, "plan of fabric domain %s changed by another planner"),
+  ORDER_SENT(4003, Logger.Level.DEBUG, "order %s sent to %s"),
+  ORDER_FAILED(4004, Logger.Level.WARN, "order %s to %s failed: %s"),
+  GROUP_OPENED(4005, Logger.Level.INFO, "group %s serves at epoch %s"),
+  GROUP_CLOSED(4006, Logger.Level.WARN, "group %s stopped serving: %s"),
+  UPSTREAM_COLD(4007, Logger.Level.INFO, "upstream %s is cold: %s"),
+  UPSTREAM_WARM(4008, Logger.Level.INFO, "upstream %s is warm"),
+  STALE_ORDER_FOUND(4009, Logger.Level.WARN, "upstream %s obeyed a stale order: %s"),
+
+  REQUEST_REFUSED(5001, Logger.Level.DEBUG, "request %s refused: %s"),
+  REQUEST_FAILED(5002, Logger.Level.INFO, "request %s failed after dispatch: %s"),
+  REQUEST_RETRIED(5003, Logger.Level.DEBUG, "request %s retried: %s"),
+  POISON_FOUND(5004, Logger.Level.WARN, "request fingerprint %s crashed %s upstreams"),
+  CONNECTION_SILENT(5005, Logger.Level.WARN, "connection to %s silent for %s ms, dropped"),
+  CLAIM_LOST_ANSWER(5006, Logger.Level.INFO, "claim write of shard %s settled by reading back"),
+
+  PLATFORM_DOWN(6001, Logger.Level.WARN, "platform unavailable: %s"),
+  PLATFORM_UP(6002, Logger.Level.INFO, "platform available after %s ms"),
+  WATCH_RESTARTED(6003, Logger.Level.DEBUG, "watch of %s restarted: %s"),
+  PLATFORM_BUDGET_SPENT(6004, Logger.Level.WARN, "platform call budget spent, call %s delayed"),
+
+  INVARIANT_VIOLATED(9001, Logger.Level.ERROR, "invariant %s violated: %s");
+
+  private static final String MDC_KEY = "event";
+
+  private final int number;
+  private final Logger.Level level;
+  private final String format;
+
+  LogEvent(int number, Logger.Level level, String format) {
+    this.number = number;
+    this.level = level;
+    this.format = format;
+  }
+
+  /** Number that stays fixed across versions. */
+  public int number() {
+    return number;
+  }
+
+  /** Severity at which the event is written. */
+  public Logger.Level level() {
+    return level;
+  }
+
+  /** Message template in {@link String#format} form. */
+  public String format() {
+    return format;
+  }
+
+  /** Writes the event with its number as the structured field {@code event}. */
+  public void log(Logger logger, Object... arguments) {
+    if (!logger.isEnabled(level)) {
+      return;
+    }
+    MDC.put(MDC_KEY, number);
+    try {
+      logger.logf(level, format, arguments);
+    } finally {
+      MDC.remove(MDC_KEY);
+    }
+  }
+}
--- /dev/null
+++ b/limpet-base/src/main/java/org/limpetring/base/ManualClock.java
@@ -0,0 +1,27 @@
+package org.limpetring.base;
+
+import java.util.concurrent.atomic.AtomicLong;
+
+/** Clock that moves only when told to, for long randomised runs and tests. */
+public final class ManualClock implements Clock {
+
+  private final AtomicLong currentMs;
+
+  /** Starts at {@code startMs} milliseconds. */
+  public ManualClock(long startMs) {
+    this.currentMs = new AtomicLong(startMs);
+  }
+
+  @Override
+  public long nowMs() {
+    return currentMs.get();
+  }
+
+  /** Moves the clock forward by {@code stepMs} milliseconds. */
+  public void advance(long stepMs) {
+    if (stepMs < 0) {
+      throw new IllegalArgumentException("time does not go back: " + stepMs);
+    }
+    currentMs.addAndGet(stepMs);
+  }
+}
--- /dev/null
+++ b/limpet-base/src/test/java/org/limpetring/base/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the shared value types. */
+@NullMarked
+package org.limpetring.base;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/limpet-engine/src/main/java/org/limpetring/engine/EnginePort.java
@@ -0,0 +1,22 @@
+package org.limpetring.engine;
+
+import org.limpetring.base.Outcome;
+import org.limpetring.groups.MemberOrder;
+
+/** Port to upstreams; blocks the calling thread, and may be used from any. */
+public interface EnginePort {
+
+  /**
+   * Sends one request and passes the answer on as it arrives.
+   *
+   * @param address {@code ip:port} of the upstream
+   * @return not run only where no byte can have reached the upstream
+   */
+  Outcome send(String address, EngineRequest request, AnswerSink sink);
+
+  /** Asks the upstream for its report. */
+  ReportResult report(String address);
+
+  /** Sends an order. */
+  OrderResult order(String address, MemberOrder order);
+}
--- /dev/null
+++ b/limpet-platform/src/main/java/org/limpetring/platform/ReadResult.java
@@ -0,0 +1,14 @@
+package org.limpetring.platform;
+
+/** Result of reading one object. */
+public sealed interface ReadResult {
+
+  /** The object exists. */
+  record Found(StoredObject object) implements ReadResult {}
+
+  /** The object does not exist at {@code revision}. */
+  record Missing(long revision) implements ReadResult {}
+
+  /** The platform did not answer in time. */
+  record Unavailable(String reason) implements ReadResult {}
+}
--- /dev/null
+++ b/limpet-standin/src/main/java/org/limpetring/standin/package-info.java
@@ -0,0 +1,5 @@
+/** Stand-ins for the platform, engines and plain services, with fault switches. */
+@NullMarked
+package org.limpetring.standin;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/limpetctl/src/main/java/org/limpetring/ctl/package-info.java
@@ -0,0 +1,5 @@
+/** The operators' command line. */
+@NullMarked
+package org.limpetring.ctl;
+
+import org.jspecify.annotations.NullMarked;
