--- a/limpet-engine/src/main/java/org/limpetring/engine/EnginePort.java
+++ b/limpet-engine/src/main/java/org/limpetring/engine/EnginePort.java
@@ -1,10 +1,12 @@
 package org.limpetring.engine;
 
 import org.limpetring.base.Outcome;
-import org.limpetring.groups.MemberOrder;
+import org.limpetring.groups.MemberPort;
 
-/** Port to upstreams; blocks the calling thread, and may be used from any. */
-public interface EnginePort {
+/**
+ * Port to upstreams: requests besides control; blocks the calling thread, and may be used from any.
+ */
+public interface EnginePort extends MemberPort {
 
   /**
    * Sends one request and passes the answer on as it arrives.
@@ -13,10 +15,4 @@
    * @return not run only where no byte can have reached the upstream
    */
   Outcome send(String address, EngineRequest request, AnswerSink sink);
-
-  /** Asks the upstream for its report. */
-  ReportResult report(String address);
-
-  /** Sends an order. */
-  OrderResult order(String address, MemberOrder order);
 }
--- a/limpet-engine/src/main/java/org/limpetring/engine/OrderResult.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/OrderResult.java
@@ -1,4 +1,4 @@
-package org.limpetring.engine;
+package org.limpetring.groups;
 
 /** Result of an order. */
 public sealed interface OrderResult {
--- a/limpet-engine/src/main/java/org/limpetring/engine/ReportResult.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/ReportResult.java
@@ -1,6 +1,4 @@
-package org.limpetring.engine;
-
-import org.limpetring.groups.MemberReport;
+package org.limpetring.groups;
 
 /** Result of asking an upstream for its report. */
 public sealed interface ReportResult {
--- /dev/null
+++ b/limpet-platform/src/main/java/org/limpetring/platform/memory/MemoryObjectStore.java
@@ -0,0 +1,112 @@
+package org.limpetring.platform.memory;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.platform.ListResult;
+import org.limpetring.platform.ObjectStore;
+import org.limpetring.platform.ReadResult;
+import org.limpetring.platform.StoredObject;
+import org.limpetring.platform.WatchResult;
+import org.limpetring.platform.WatchResult.Change;
+import org.limpetring.platform.WriteResult;
+
+/** Linearizable object store in memory that keeps a bounded log of changes for watches. */
+public final class MemoryObjectStore implements ObjectStore {
+
+  private static final int LOG_LIMIT = 10_000;
+
+  private final TreeMap<String, StoredObject> objects = new TreeMap<>();
+  private final List<Change> log = new ArrayList<>();
+  private long revision;
+  private long compactedRevision;
+
+  @Override
+  public synchronized ReadResult get(String key) {
+    StoredObject found = objects.get(key);
+    return found == null ? new ReadResult.Missing(revision) : new ReadResult.Found(found);
+  }
+
+  @Override
+  public synchronized ListResult list(String prefix) {
+    return new ListResult.Listed(
+        objects.tailMap(prefix).values().stream()
+            .takeWhile(object -> object.key().startsWith(prefix))
+            .toList(),
+        revision);
+  }
+
+  @Override
+  public synchronized WriteResult put(String key, String value, long expectedVersion) {
+    if (value.getBytes(StandardCharsets.UTF_8).length > MAX_VALUE_BYTES) {
+      return new WriteResult.Unavailable("value too large");
+    }
+    if (version(key) != expectedVersion) {
+      return new WriteResult.Conflict(version(key));
+    }
+    revision++;
+    objects.put(key, new StoredObject(key, value, revision));
+    append(new Change(key, value, revision, false));
+    return new WriteResult.Written(revision);
+  }
+
+  @Override
+  public synchronized WriteResult delete(String key, long expectedVersion) {
+    if (version(key) != expectedVersion || expectedVersion == 0) {
+      return new WriteResult.Conflict(version(key));
+    }
+    revision++;
+    objects.remove(key);
+    append(new Change(key, "", revision, true));
+    return new WriteResult.Written(revision);
+  }
+
+  @Override
+  public synchronized WatchResult watch(String prefix, long afterRevision, long waitMs) {
+    long endNs = System.nanoTime() + waitMs * 1_000_000L;
+    while (true) {
+      if (afterRevision < compactedRevision) {
+        return new WatchResult.Compacted(compactedRevision);
+      }
+      List<Change> changes = changesAfter(prefix, afterRevision);
+      long leftMs = (endNs - System.nanoTime()) / 1_000_000L;
+      if (!changes.isEmpty() || leftMs <= 0) {
+        return new WatchResult.Changes(changes, revision);
+      }
+      try {
+        wait(leftMs);
+      } catch (InterruptedException interrupted) {
+        Thread.currentThread().interrupt();
+        return new WatchResult.Unavailable("interrupted");
+      }
+    }
+  }
+
+  private long version(String key) {
+    @Nullable StoredObject found = objects.get(key);
+    return found == null ? 0 : found.version();
+  }
+
+  private void append(Change change) {
+    log.add(change);
+    if (log.size() > LOG_LIMIT) {
+      compactedRevision = log.remove(0).version();
+    }
+    notifyAll();
+  }
+
+  private List<Change> changesAfter(String prefix, long afterRevision) {
+    Map<String, Change> last = new LinkedHashMap<>();
+    for (Change change : log) {
+      if (change.version() > afterRevision && change.key().startsWith(prefix)) {
+        last.remove(change.key());
+        last.put(change.key(), change);
+      }
+    }
+    return List.copyOf(last.values());
+  }
+}
