--- /dev/null
+++ b/limpet-peer/src/main/java/org/limpetring/peer/memory/package-info.java
@@ -0,0 +1,5 @@
+/** Transports in memory with switches for partitions, loss and delay, driven by a manual clock. */
+@NullMarked
+package org.limpetring.peer.memory;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/limpet-platform/src/main/java/org/limpetring/platform/http/HttpObjectStore.java
@@ -0,0 +1,223 @@
+package org.limpetring.platform.http;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import java.net.URI;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.List;
+import org.apache.hc.client5.http.classic.methods.HttpDelete;
+import org.apache.hc.client5.http.classic.methods.HttpGet;
+import org.apache.hc.client5.http.classic.methods.HttpPut;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.limpetring.platform.ListResult;
+import org.limpetring.platform.ObjectStore;
+import org.limpetring.platform.ReadResult;
+import org.limpetring.platform.StoredObject;
+import org.limpetring.platform.WatchResult;
+import org.limpetring.platform.WriteResult;
+
+/** Object store behind the platform's HTTP interface. */
+public final class HttpObjectStore implements ObjectStore {
+
+  private static final String OBJECT_PATH = "/v1/object";
+  private static final String LIST_PATH = "/v1/objects";
+  private static final String WATCH_PATH = "/v1/watch";
+  private static final ContentType VALUE_TYPE =
+      ContentType.create("text/plain", StandardCharsets.UTF_8);
+
+  private final HttpPlatformClient client;
+
+  /** Makes its calls through {@code client}, which the caller closes. */
+  public HttpObjectStore(HttpPlatformClient client) {
+    this.client = client;
+  }
+
+  @Override
+  public ReadResult get(String key) {
+    URI address = HttpPlatformClient.build(client.address(OBJECT_PATH).addParameter("key", key));
+    ReadResult result = readResult(key, client.call(new HttpGet(address)));
+    client.count(PlatformCall.GET, label(result));
+    return result;
+  }
+
+  @Override
+  public ListResult list(String prefix) {
+    URI address =
+        HttpPlatformClient.build(client.address(LIST_PATH).addParameter("prefix", prefix));
+    ListResult result = listResult(client.call(new HttpGet(address)));
+    client.count(PlatformCall.LIST, result instanceof ListResult.Listed ? "ok" : "unavailable");
+    return result;
+  }
+
+  @Override
+  public WriteResult put(String key, String value, long expectedVersion) {
+    byte[] bytes = value.getBytes(StandardCharsets.UTF_8);
+    if (bytes.length > MAX_VALUE_BYTES) {
+      return new WriteResult.Unavailable("value too large: " + bytes.length + " bytes");
+    }
+    HttpPut request = new HttpPut(writeAddress(key, expectedVersion));
+    request.setEntity(new ByteArrayEntity(bytes, VALUE_TYPE));
+    WriteResult result = writeResult(client.call(request));
+    client.count(PlatformCall.PUT, label(result));
+    return result;
+  }
+
+  @Override
+  public WriteResult delete(String key, long expectedVersion) {
+    HttpDelete request = new HttpDelete(writeAddress(key, expectedVersion));
+    WriteResult result = writeResult(client.call(request));
+    client.count(PlatformCall.DELETE, label(result));
+    return result;
+  }
+
+  @Override
+  public WatchResult watch(String prefix, long afterRevision, long waitMs) {
+    URI address =
+        HttpPlatformClient.build(
+            client
+                .address(WATCH_PATH)
+                .addParameter("prefix", prefix)
+                .addParameter("after", Long.toString(afterRevision))
+                .addParameter("waitMs", Long.toString(waitMs)));
+    WatchResult result = watchResult(client.callWaiting(new HttpGet(address), waitMs));
+    client.count(PlatformCall.WATCH, label(result));
+    return result;
+  }
+
+  private URI writeAddress(String key, long expectedVersion) {
+    return HttpPlatformClient.build(
+        client
+            .address(OBJECT_PATH)
+            .addParameter("key", key)
+            .addParameter("expected", Long.toString(expectedVersion)));
+  }
+
+  private static ReadResult readResult(String key, HttpAnswer answer) {
+    if (!(answer instanceof HttpAnswer.Answered answered)) {
+      return new ReadResult.Unavailable(reason(answer));
+    }
+    try {
+      if (answered.status() == 200) {
+        StoredObject object = storedObject(answered.body());
+        if (!object.key().equals(key)) {
+          return new ReadResult.Unavailable("answer for another key: " + object.key());
+        }
+        return new ReadResult.Found(object);
+      }
+      if (answered.status() == 404) {
+        return new ReadResult.Missing(JsonFields.number(answered.body(), "revision"));
+      }
+      return new ReadResult.Unavailable(reason(answer));
+    } catch (MalformedAnswerException malformed) {
+      return new ReadResult.Unavailable(malformed.reason());
+    }
+  }
+
+  private static ListResult listResult(HttpAnswer answer) {
+    if (!(answer instanceof HttpAnswer.Answered answered) || answered.status() != 200) {
+      return new ListResult.Unavailable(reason(answer));
+    }
+    try {
+      List<StoredObject> objects = new ArrayList<>();
+      for (JsonNode node : JsonFields.array(answered.body(), "objects")) {
+        objects.add(storedObject(node));
+      }
+      objects.sort(Comparator.comparing(StoredObject::key));
+      return new ListResult.Listed(objects, JsonFields.number(answered.body(), "revision"));
+    } catch (MalformedAnswerException malformed) {
+      return new ListResult.Unavailable(malformed.reason());
+    }
+  }
+
+  private static WriteResult writeResult(HttpAnswer answer) {
+    if (answer instanceof HttpAnswer.NotSent notSent) {
+      return new WriteResult.Unavailable(notSent.reason());
+    }
+    if (!(answer instanceof HttpAnswer.Answered answered)) {
+      return new WriteResult.Unknown(reason(answer));
+    }
+    try {
+      return switch (answered.status()) {
+        case 200 -> new WriteResult.Written(JsonFields.number(answered.body(), "version"));
+        case 409 -> new WriteResult.Conflict(JsonFields.number(answered.body(), "version"));
+        case 400, 401, 403, 404, 413, 429, 503 -> new WriteResult.Unavailable(reason(answer));
+        default -> new WriteResult.Unknown(reason(answer));
+      };
+    } catch (MalformedAnswerException malformed) {
+      return new WriteResult.Unknown(malformed.reason());
+    }
+  }
+
+  private static WatchResult watchResult(HttpAnswer answer) {
+    if (!(answer instanceof HttpAnswer.Answered answered)) {
+      return new WatchResult.Unavailable(reason(answer));
+    }
+    try {
+      if (answered.status() == 410) {
+        return new WatchResult.Compacted(JsonFields.number(answered.body(), "oldest"));
+      }
+      if (answered.status() != 200) {
+        return new WatchResult.Unavailable(reason(answer));
+      }
+      List<WatchResult.Change> changes = new ArrayList<>();
+      for (JsonNode node : JsonFields.array(answered.body(), "changes")) {
+        changes.add(change(node));
+      }
+      return new WatchResult.Changes(changes, JsonFields.number(answered.body(), "revision"));
+    } catch (MalformedAnswerException malformed) {
+      return new WatchResult.Unavailable(malformed.reason());
+    }
+  }
+
+  private static StoredObject storedObject(JsonNode node) throws MalformedAnswerException {
+    return new StoredObject(
+        JsonFields.text(node, "key"),
+        JsonFields.text(node, "value"),
+        JsonFields.number(node, "version"));
+  }
+
+  private static WatchResult.Change change(JsonNode node) throws MalformedAnswerException {
+    boolean deleted = node.path("deleted").asBoolean(false);
+    return new WatchResult.Change(
+        JsonFields.text(node, "key"),
+        deleted ? "" : JsonFields.text(node, "value"),
+        JsonFields.number(node, "version"),
+        deleted);
+  }
+
+  private static String reason(HttpAnswer answer) {
+    if (answer instanceof HttpAnswer.NotSent notSent) {
+      return notSent.reason();
+    }
+    if (answer instanceof HttpAnswer.Lost lost) {
+      return lost.reason();
+    }
+    return "status " + ((HttpAnswer.Answered) answer).status();
+  }
+
+  private static String label(ReadResult result) {
+    if (result instanceof ReadResult.Found) {
+      return "ok";
+    }
+    return result instanceof ReadResult.Missing ? "missing" : "unavailable";
+  }
+
+  private static String label(WriteResult result) {
+    if (result instanceof WriteResult.Written) {
+      return "ok";
+    }
+    if (result instanceof WriteResult.Conflict) {
+      return "conflict";
+    }
+    return result instanceof WriteResult.Unknown ? "unknown" : "unavailable";
+  }
+
+  private static String label(WatchResult result) {
+    if (result instanceof WatchResult.Changes) {
+      return "ok";
+    }
+    return result instanceof WatchResult.Compacted ? "compacted" : "unavailable";
+  }
+}
--- /dev/null
+++ b/limpet-platform/src/main/java/org/limpetring/platform/http/HttpPlatformClient.java
@@ -0,0 +1,188 @@
+package org.limpetring.platform.http;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.MissingNode;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.ConnectException;
+import java.net.NoRouteToHostException;
+import java.net.URI;
+import java.net.URISyntaxException;
+import java.net.UnknownHostException;
+import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import javax.net.ssl.SSLHandshakeException;
+import org.apache.hc.client5.http.ConnectTimeoutException;
+import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionRequestTimeoutException;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.net.URIBuilder;
+import org.apache.hc.core5.util.TimeValue;
+import org.apache.hc.core5.util.Timeout;
+import org.limpetring.base.Metrics;
+
+/**
+ * HTTP client that the adapters of one platform share.
+ *
+ * <p>Each call has a deadline for the whole exchange, after which its connection is closed. Calls
+ * are never repeated here.
+ */
+public final class HttpPlatformClient implements AutoCloseable {
+
+  private static final int MAX_ANSWER_BYTES = 64 * 1024 * 1024;
+  private static final int BUFFER_BYTES = 16 * 1024;
+  private static final long VALIDATE_IDLE_MS = 1_000;
+
+  private final PlatformSettings settings;
+  private final CloseableHttpClient client;
+  private final ObjectMapper mapper = new ObjectMapper();
+  private final ScheduledExecutorService deadlines =
+      Executors.newSingleThreadScheduledExecutor(
+          task -> {
+            Thread thread = new Thread(task, "platform-deadlines");
+            thread.setDaemon(true);
+            return thread;
+          });
+
+  /** Opens no connection before the first call. */
+  public HttpPlatformClient(PlatformSettings settings) {
+    this.settings = settings;
+    ConnectionConfig connections =
+        ConnectionConfig.custom()
+            .setConnectTimeout(Timeout.ofMilliseconds(settings.connectTimeoutMs()))
+            .setValidateAfterInactivity(TimeValue.ofMilliseconds(VALIDATE_IDLE_MS))
+            .build();
+    this.client =
+        HttpClients.custom()
+            .disableAutomaticRetries()
+            .disableRedirectHandling()
+            .disableCookieManagement()
+            .disableAuthCaching()
+            .setConnectionManager(
+                PoolingHttpClientConnectionManagerBuilder.create()
+                    .setDefaultConnectionConfig(connections)
+                    .setMaxConnPerRoute(settings.maxConnections())
+                    .setMaxConnTotal(settings.maxConnections())
+                    .build())
+            .build();
+  }
+
+  /** Starts the address of a call below the base URL. */
+  URIBuilder address(String path) {
+    try {
+      return new URIBuilder(settings.baseUrl()).setPath(path);
+    } catch (URISyntaxException malformed) {
+      throw new IllegalArgumentException("bad platform URL: " + settings.baseUrl(), malformed);
+    }
+  }
+
+  /** Makes one call with the usual deadline. */
+  HttpAnswer call(HttpUriRequestBase request) {
+    return call(request, settings.callTimeoutMs());
+  }
+
+  /** Makes a call that the platform may hold back for {@code waitMs}. */
+  HttpAnswer callWaiting(HttpUriRequestBase request, long waitMs) {
+    return call(request, waitMs + settings.watchSlackMs());
+  }
+
+  /** Counts one finished call. */
+  void count(PlatformCall kind, String result) {
+    Metrics.PLATFORM_CALLS.labelValues(kind.label(), result).inc();
+  }
+
+  /** Closes all connections; running calls fail. */
+  @Override
+  public void close() {
+    deadlines.shutdownNow();
+    try {
+      client.close();
+    } catch (IOException ignored) {
+      // Nothing is left to release.
+    }
+  }
+
+  private HttpAnswer call(HttpUriRequestBase request, long timeoutMs) {
+    request.setConfig(
+        RequestConfig.custom()
+            .setConnectionRequestTimeout(Timeout.ofMilliseconds(settings.connectTimeoutMs()))
+            .setResponseTimeout(Timeout.ofMilliseconds(timeoutMs))
+            .build());
+    Future<?> deadline =
+        deadlines.schedule(
+            () -> {
+              request.cancel();
+            },
+            timeoutMs,
+            TimeUnit.MILLISECONDS);
+    try {
+      return client.execute(request, this::read);
+    } catch (ConnectTimeoutException
+        | ConnectException
+        | ConnectionRequestTimeoutException
+        | NoRouteToHostException
+        | UnknownHostException
+        | SSLHandshakeException notSent) {
+      return new HttpAnswer.NotSent(describe(notSent));
+    } catch (IOException lost) {
+      return new HttpAnswer.Lost(describe(lost));
+    } finally {
+      deadline.cancel(false);
+    }
+  }
+
+  private HttpAnswer read(ClassicHttpResponse response) throws IOException {
+    HttpEntity entity = response.getEntity();
+    if (entity == null) {
+      return new HttpAnswer.Answered(response.getCode(), MissingNode.getInstance());
+    }
+    return new HttpAnswer.Answered(response.getCode(), parse(readBounded(entity)));
+  }
+
+  private JsonNode parse(byte[] body) throws IOException {
+    try {
+      JsonNode node = mapper.readTree(body);
+      return node == null ? MissingNode.getInstance() : node;
+    } catch (JsonProcessingException notJson) {
+      return MissingNode.getInstance();
+    }
+  }
+
+  private static byte[] readBounded(HttpEntity entity) throws IOException {
+    ByteArrayOutputStream body = new ByteArrayOutputStream();
+    byte[] buffer = new byte[BUFFER_BYTES];
+    try (InputStream in = entity.getContent()) {
+      for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
+        body.write(buffer, 0, count);
+        if (body.size() > MAX_ANSWER_BYTES) {
+          throw new IOException("answer longer than " + MAX_ANSWER_BYTES + " bytes");
+        }
+      }
+    }
+    return body.toByteArray();
+  }
+
+  private static String describe(IOException failure) {
+    return failure.getClass().getSimpleName() + ": " + failure.getMessage();
+  }
+
+  /** Builds the address, which fails only on a programming mistake. */
+  static URI build(URIBuilder builder) {
+    try {
+      return builder.build();
+    } catch (URISyntaxException malformed) {
+      throw new IllegalArgumentException(malformed);
+    }
+  }
+}
