--- a/limpet-base/src/main/java/org/limpetring/base/CallerId.java
+++ b/limpet-base/src/main/java/org/limpetring/base/CallerId.java
@@ -1,9 +1,13 @@
 package org.limpetring.base;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
 /** Name of the team that a caller belongs to. */
-public record CallerId(String value) implements Comparable<CallerId> {
+public record CallerId(@JsonValue String value) implements Comparable<CallerId> {
 
   /** Rejects a name that is empty, longer than {@link Names#MAX_LENGTH} or oddly spelled. */
+  @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
   public CallerId {
     Names.check("caller", value);
   }
--- a/limpet-base/src/main/java/org/limpetring/base/DaemonId.java
+++ b/limpet-base/src/main/java/org/limpetring/base/DaemonId.java
@@ -1,9 +1,13 @@
 package org.limpetring.base;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
 /** Name of one daemon process; a restarted daemon takes a new one. */
-public record DaemonId(String value) implements Comparable<DaemonId> {
+public record DaemonId(@JsonValue String value) implements Comparable<DaemonId> {
 
   /** Rejects a name that is empty, longer than {@link Names#MAX_LENGTH} or oddly spelled. */
+  @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
   public DaemonId {
     Names.check("daemon", value);
   }
--- a/limpet-base/src/main/java/org/limpetring/base/GroupId.java
+++ b/limpet-base/src/main/java/org/limpetring/base/GroupId.java
@@ -1,9 +1,13 @@
 package org.limpetring.base;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
 /** Name of one group: the hosts that together hold one replica of a model. */
-public record GroupId(String value) implements Comparable<GroupId> {
+public record GroupId(@JsonValue String value) implements Comparable<GroupId> {
 
   /** Rejects a name that is empty, longer than {@link Names#MAX_LENGTH} or oddly spelled. */
+  @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
   public GroupId {
     Names.check("group", value);
   }
--- a/limpet-base/src/main/java/org/limpetring/base/HostId.java
+++ b/limpet-base/src/main/java/org/limpetring/base/HostId.java
@@ -1,9 +1,13 @@
 package org.limpetring.base;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
 /** Name of one host in the platform's host list, and of the one upstream that runs on it. */
-public record HostId(String value) implements Comparable<HostId> {
+public record HostId(@JsonValue String value) implements Comparable<HostId> {
 
   /** Rejects a name that is empty, longer than {@link Names#MAX_LENGTH} or oddly spelled. */
+  @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
   public HostId {
     Names.check("host", value);
   }
--- a/limpet-base/src/main/java/org/limpetring/base/PoolName.java
+++ b/limpet-base/src/main/java/org/limpetring/base/PoolName.java
@@ -1,9 +1,13 @@
 package org.limpetring.base;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
 /** Name of a row of the pool table. */
-public record PoolName(String value) implements Comparable<PoolName> {
+public record PoolName(@JsonValue String value) implements Comparable<PoolName> {
 
   /** Rejects a name that is empty, longer than {@link Names#MAX_LENGTH} or oddly spelled. */
+  @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
   public PoolName {
     Names.check("pool", value);
   }
--- a/limpet-base/src/main/java/org/limpetring/base/RequestId.java
+++ b/limpet-base/src/main/java/org/limpetring/base/RequestId.java
@@ -1,9 +1,13 @@
 package org.limpetring.base;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
 /** Identifier of one caller's request, echoed by the upstream that answers it. */
-public record RequestId(String value) implements Comparable<RequestId> {
+public record RequestId(@JsonValue String value) implements Comparable<RequestId> {
 
   /** Rejects a name that is empty, longer than {@link Names#MAX_LENGTH} or oddly spelled. */
+  @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
   public RequestId {
     Names.check("request", value);
   }
--- a/limpet-base/src/main/java/org/limpetring/base/RouteName.java
+++ b/limpet-base/src/main/java/org/limpetring/base/RouteName.java
@@ -1,9 +1,13 @@
 package org.limpetring.base;
 
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+
 /** Name of a row of the route table. */
-public record RouteName(String value) implements Comparable<RouteName> {
+public record RouteName(@JsonValue String value) implements Comparable<RouteName> {
 
   /** Rejects a name that is empty, longer than {@link Names#MAX_LENGTH} or oddly spelled. */
+  @JsonCreator(mode = JsonCreator.Mode.DELEGATING)
   public RouteName {
     Names.check("route", value);
   }
--- /dev/null
+++ b/limpet-tables/src/test/java/org/limpetring/tables/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the tables. */
+@NullMarked
+package org.limpetring.tables;
+
+import org.jspecify.annotations.NullMarked;
