HTTP adapter to upstreams

Cause: whether a request may have run is decided where a try fails, so the adapter owns that word. Change: HttpEnginePort keeps not run, ran and unknown apart; request id, event order and end marker are checked; silence before and within an answer has its own deadline; the library never repeats a request.

--- /dev/null
+++ b/limpet-engine/src/main/java/org/limpetring/engine/http/HttpEnginePort.java
@@ -0,0 +1,240 @@
+package org.limpetring.engine.http;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.SocketTimeoutException;
+import java.net.URI;
+import java.util.concurrent.TimeUnit;
+import org.apache.hc.client5.http.ConnectTimeoutException;
+import org.apache.hc.client5.http.HttpHostConnectException;
+import org.apache.hc.client5.http.classic.methods.HttpUriRequestBase;
+import org.apache.hc.client5.http.config.ConnectionConfig;
+import org.apache.hc.client5.http.config.RequestConfig;
+import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
+import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
+import org.apache.hc.client5.http.protocol.HttpClientContext;
+import org.apache.hc.core5.http.ClassicHttpResponse;
+import org.apache.hc.core5.http.ConnectionRequestTimeoutException;
+import org.apache.hc.core5.http.ContentType;
+import org.apache.hc.core5.http.Header;
+import org.apache.hc.core5.http.HttpEntity;
+import org.apache.hc.core5.http.HttpStatus;
+import org.apache.hc.core5.http.io.SocketConfig;
+import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.apache.hc.core5.util.Timeout;
+import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.base.LogEvent;
+import org.limpetring.base.Outcome;
+import org.limpetring.base.ResultCode;
+import org.limpetring.base.RunState;
+import org.limpetring.engine.AnswerSink;
+import org.limpetring.engine.AnswerSink.CallerGoneException;
+import org.limpetring.engine.EnginePort;
+import org.limpetring.engine.EngineRequest;
+import org.limpetring.groups.MemberOrder;
+import org.limpetring.groups.OrderResult;
+import org.limpetring.groups.ReportResult;
+
+/**
+ * Talks to upstreams over HTTP and decides, from where a try failed, whether the request may have
+ * run: before a connection stands it cannot have, after it may.
+ *
+ * <p>The client library never repeats a request by itself.
+ */
+public final class HttpEnginePort implements EnginePort, AutoCloseable {
+
+  private static final Logger LOGGER = Logger.getLogger(HttpEnginePort.class);
+  private static final int CHUNK_BYTES = 16_384;
+  private static final int CLIENT_CLOSED_STATUS = 500;
+
+  private final EngineSettings settings;
+  private final CloseableHttpClient client;
+  private final ControlClient control;
+
+  /** Opens a pool of connections; close it to free them. */
+  public HttpEnginePort(EngineSettings settings) {
+    this.settings = settings;
+    this.client = open(settings);
+    this.control = new ControlClient(client, settings.controlTimeoutMs());
+  }
+
+  @Override
+  public ReportResult report(String address) {
+    return control.report(address);
+  }
+
+  @Override
+  public OrderResult order(String address, MemberOrder order) {
+    return control.order(address, order);
+  }
+
+  @Override
+  public Outcome send(String address, EngineRequest request, AnswerSink sink) {
+    HttpUriRequestBase call = prepare(address, request);
+    try {
+      HttpClientContext context = HttpClientContext.create();
+      ProgressRequestExecutor.setProgress(context, request.progressMs());
+      return client.execute(
+          call, context, response -> readAnswer(address, call, request, response, sink));
+    } catch (HttpHostConnectException
+        | ConnectTimeoutException
+        | ConnectionRequestTimeoutException unreachable) {
+      return new Outcome.NotRun(ResultCode.UPSTREAM_REFUSED, "no connection to " + address);
+    } catch (SocketTimeoutException silent) {
+      LogEvent.CONNECTION_SILENT.log(LOGGER, address, request.firstByteMs());
+      return new Outcome.Unknown(ResultCode.UPSTREAM_TIMEOUT, "no answer from " + address);
+    } catch (IOException broken) {
+      return new Outcome.Unknown(ResultCode.UPSTREAM_LOST, address + ": " + broken.getMessage());
+    }
+  }
+
+  @Override
+  public void close() throws IOException {
+    client.close();
+  }
+
+  private Outcome readAnswer(
+      String address,
+      HttpUriRequestBase call,
+      EngineRequest request,
+      ClassicHttpResponse response,
+      AnswerSink sink) {
+    Outcome outcome = judgeAnswer(address, request, response, sink);
+    if (outcome.code() != ResultCode.OK && outcome.runState() != RunState.NOT_RUN) {
+      call.abort();
+    }
+    if (outcome.code() == ResultCode.CANCELLED) {
+      control.cancel(address, request.id());
+    }
+    return outcome;
+  }
+
+  private Outcome judgeAnswer(
+      String address, EngineRequest request, ClassicHttpResponse response, AnswerSink sink) {
+    if (isNotRun(response)) {
+      return new Outcome.NotRun(ResultCode.UPSTREAM_REFUSED, address + " refused");
+    }
+    Header echoed = response.getFirstHeader(EngineHeaders.REQUEST);
+    if (echoed == null || !echoed.getValue().equals(request.id().value())) {
+      return new Outcome.Unknown(ResultCode.ANSWER_MISMATCH, address + " answered another request");
+    }
+    if (response.getCode() >= CLIENT_CLOSED_STATUS) {
+      return new Outcome.Ran(
+          ResultCode.UPSTREAM_ERROR, address + " answered " + response.getCode());
+    }
+    try {
+      sink.begin(response.getCode(), contentType(response));
+      InputStream body = bodyOf(response);
+      return request.streamed() && response.getCode() == HttpStatus.SC_OK
+          ? copyEvents(address, request, body, sink)
+          : copyBody(body, sink);
+    } catch (CallerGoneException gone) {
+      return new Outcome.Unknown(ResultCode.CANCELLED, "caller left");
+    } catch (SocketTimeoutException stalled) {
+      LogEvent.CONNECTION_SILENT.log(LOGGER, address, request.progressMs());
+      return new Outcome.Unknown(ResultCode.UPSTREAM_TIMEOUT, address + " stalled");
+    } catch (IOException broken) {
+      return new Outcome.Unknown(ResultCode.ANSWER_TRUNCATED, address + " broke off");
+    }
+  }
+
+  private static Outcome copyEvents(
+      String address, EngineRequest request, InputStream body, AnswerSink sink)
+      throws IOException, CallerGoneException {
+    EventFrames frames = new EventFrames(body);
+    AnswerCheck check = new AnswerCheck(request.id(), request.resumeOffset());
+    byte[] event = frames.next();
+    while (event != null) {
+      switch (check.judge(EventFrames.data(event))) {
+        case PART -> sink.part(event);
+        case END -> {
+          sink.part(event);
+          return new Outcome.Ran(ResultCode.OK, address);
+        }
+        case FOREIGN -> {
+          return new Outcome.Unknown(ResultCode.ANSWER_MISMATCH, address + " crossed answers");
+        }
+        case BROKEN -> {
+          return new Outcome.Unknown(ResultCode.ANSWER_TRUNCATED, address + " skipped a part");
+        }
+      }
+      event = frames.next();
+    }
+    return new Outcome.Unknown(ResultCode.ANSWER_TRUNCATED, address + " sent no end marker");
+  }
+
+  private static Outcome copyBody(InputStream body, AnswerSink sink)
+      throws IOException, CallerGoneException {
+    byte[] chunk = body.readNBytes(CHUNK_BYTES);
+    while (chunk.length > 0) {
+      sink.part(chunk);
+      chunk = body.readNBytes(CHUNK_BYTES);
+    }
+    return new Outcome.Ran(ResultCode.OK, "");
+  }
+
+  private HttpUriRequestBase prepare(String address, EngineRequest request) {
+    HttpUriRequestBase call =
+        new HttpUriRequestBase(request.method(), URI.create("http://" + address + request.path()));
+    call.setHeader(EngineHeaders.REQUEST, request.id().value());
+    call.setHeader(EngineHeaders.DEADLINE_MS, request.deadlineMs());
+    call.setHeader(EngineHeaders.PRIORITY, request.priority());
+    if (request.resumeOffset() > 0) {
+      call.setHeader(EngineHeaders.RESUME, request.resumeOffset());
+    }
+    if (request.body().length > 0) {
+      call.setEntity(
+          new ByteArrayEntity(request.body(), ContentType.parseLenient(request.contentType())));
+    }
+    long responseMs = Math.min(request.firstByteMs(), request.deadlineMs());
+    call.setConfig(
+        RequestConfig.custom()
+            .setConnectionRequestTimeout(Timeout.ofMilliseconds(settings.connectTimeoutMs()))
+            .setResponseTimeout(Timeout.ofMilliseconds(Math.max(1, responseMs)))
+            .build());
+    return call;
+  }
+
+  private static boolean isNotRun(ClassicHttpResponse response) {
+    Header header = response.getFirstHeader(EngineHeaders.NOT_RUN);
+    return response.getCode() == HttpStatus.SC_SERVICE_UNAVAILABLE
+        && header != null
+        && header.getValue().equals("true");
+  }
+
+  private static String contentType(ClassicHttpResponse response) {
+    @Nullable HttpEntity entity = response.getEntity();
+    String type = entity == null ? null : entity.getContentType();
+    return type == null ? "application/octet-stream" : type;
+  }
+
+  private static InputStream bodyOf(ClassicHttpResponse response) throws IOException {
+    @Nullable HttpEntity entity = response.getEntity();
+    return entity == null ? InputStream.nullInputStream() : entity.getContent();
+  }
+
+  private static CloseableHttpClient open(EngineSettings settings) {
+    ConnectionConfig connection =
+        ConnectionConfig.custom()
+            .setConnectTimeout(Timeout.ofMilliseconds(settings.connectTimeoutMs()))
+            .setTimeToLive(settings.idleConnectionMs(), TimeUnit.MILLISECONDS)
+            .build();
+    return HttpClients.custom()
+        .setConnectionManager(
+            PoolingHttpClientConnectionManagerBuilder.create()
+                .setDefaultConnectionConfig(connection)
+                .setDefaultSocketConfig(SocketConfig.custom().setTcpNoDelay(true).build())
+                .setMaxConnPerRoute(settings.maxConnectionsPerUpstream())
+                .setMaxConnTotal(settings.maxConnections())
+                .build())
+        .setRequestExecutor(new ProgressRequestExecutor())
+        .disableAutomaticRetries()
+        .disableRedirectHandling()
+        .disableContentCompression()
+        .disableCookieManagement()
+        .disableAuthCaching()
+        .build();
+  }
+}
