--- a/limpet-peer/src/main/java/org/limpetring/peer/ConnectionWatch.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/ConnectionWatch.java
@@ -16,7 +16,7 @@
     CLOSE_IDLE
   }
 
-  private static final long NONE_UNANSWERED = -1;
+  private static final long NONE_UNANSWERED = Long.MIN_VALUE;
 
   private final long heartbeatMs;
   private final long silenceMs;
@@ -62,8 +62,12 @@
     return Action.NONE;
   }
 
-  /** Time since the oldest frame without answer, in milliseconds; 0 if none. */
-  long unansweredMs(long nowMs) {
-    return unansweredSinceMs == NONE_UNANSWERED ? 0 : nowMs - unansweredSinceMs;
+  /** Time until the next decision can be due, in milliseconds and at least 1. */
+  long nextTickMs(long nowMs) {
+    if (unansweredSinceMs == NONE_UNANSWERED) {
+      return Math.max(1, lastMessageMs + idleCloseMs - nowMs);
+    }
+    long dueMs = heartbeatSent ? silenceMs : heartbeatMs;
+    return Math.max(1, unansweredSinceMs + dueMs - nowMs);
   }
 }
--- a/limpet-peer/src/main/java/org/limpetring/peer/PeerFailure.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/PeerFailure.java
@@ -3,21 +3,23 @@
 /** Why a request to a peer has no response. */
 public enum PeerFailure {
   /** No connection could be opened; nothing was sent. */
-  UNREACHABLE(false),
+  UNREACHABLE("unreachable", false),
   /** The queue towards the peer was full; nothing was sent. */
-  QUEUE_FULL(false),
+  QUEUE_FULL("queue_full", false),
   /** The message exceeds the longest frame; nothing was sent. */
-  TOO_LARGE(false),
+  TOO_LARGE("too_large", false),
   /** The connection ended before the response. */
-  CONNECTION_LOST(true),
+  CONNECTION_LOST("connection_lost", true),
   /** The response did not arrive in time. */
-  TIMEOUT(true),
+  TIMEOUT("timeout", true),
   /** The transport was closed. */
-  CLOSED(true);
+  CLOSED("closed", true);
 
+  private final String label;
   private final boolean mayHaveArrived;
 
-  PeerFailure(boolean mayHaveArrived) {
+  PeerFailure(String label, boolean mayHaveArrived) {
+    this.label = label;
     this.mayHaveArrived = mayHaveArrived;
   }
 
@@ -25,4 +27,8 @@
   public boolean mayHaveArrived() {
     return mayHaveArrived;
   }
+
+  String label() {
+    return label;
+  }
 }
