--- a/limpet-peer/src/main/java/org/limpetring/peer/EnvelopeHandler.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/EnvelopeHandler.java
@@ -16,11 +16,16 @@
 
   private static final Logger LOGGER = Logger.getLogger(EnvelopeHandler.class);
 
+  private boolean rejected;
+
   /** Takes one well-formed frame, on the event loop. */
   abstract void onEnvelope(ChannelHandlerContext context, Envelope envelope);
 
   @Override
   protected final void channelRead0(ChannelHandlerContext context, Envelope envelope) {
+    if (rejected) {
+      return;
+    }
     if (envelope.getBodyCase() == Envelope.BodyCase.BODY_NOT_SET) {
       reject(context, FrameError.MALFORMED, "frame without known body");
       return;
@@ -56,10 +61,12 @@
         .inc(envelope.getSerializedSize() + PeerPipeline.PREFIX_BYTES);
   }
 
-  private static void reject(ChannelHandlerContext context, FrameError error, String detail) {
-    if (!context.channel().isOpen()) {
+  /** Frames that were decoded together with the bad one are not handled any more. */
+  private void reject(ChannelHandlerContext context, FrameError error, String detail) {
+    if (rejected) {
       return;
     }
+    rejected = true;
     PeerMetrics.REJECTED.labelValues(error.label()).inc();
     LogEvent.PEER_FRAME_REJECTED.log(
         LOGGER, context.channel().remoteAddress(), error.label() + ": " + detail);
--- /dev/null
+++ b/limpet-peer/src/test/java/org/limpetring/peer/PeerTlsTest.java
@@ -0,0 +1,143 @@
+package org.limpetring.peer;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import io.netty.pkitesting.CertificateBuilder;
+import io.netty.pkitesting.X509Bundle;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.awaitility.Awaitility;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+
+class PeerTlsTest {
+
+  private static final long REREAD_MS = 50;
+  private static final long NO_REREAD_MS = 3_600_000;
+
+  private final AtomicInteger handled = new AtomicInteger();
+  private X509Bundle authority = authority("peers");
+  private NettyPeerTransport server = TestPeers.open("unused", null);
+
+  @TempDir Path directory = Path.of("unused");
+
+  @BeforeEach
+  void open() throws Exception {
+    server.close();
+    server = listening("s", files("s", authority, authority.getCertificatePEM(), REREAD_MS));
+  }
+
+  @AfterEach
+  void close() {
+    server.close();
+  }
+
+  @Test
+  void certificateOfTheSameAuthorityIsServed() throws Exception {
+    assertThat(served(files("c", authority, authority.getCertificatePEM(), NO_REREAD_MS))).isTrue();
+  }
+
+  @Test
+  void foreignClientIsRefusedAndCounted() throws Exception {
+    X509Bundle foreign = authority("foreign");
+    double before = refusals();
+    assertThat(served(files("c", foreign, authority.getCertificatePEM(), NO_REREAD_MS))).isFalse();
+    Awaitility.await().until(() -> refusals() > before);
+    assertThat(handled.get()).isEqualTo(0);
+  }
+
+  @Test
+  void foreignServerIsRefusedByTheClient() throws Exception {
+    X509Bundle foreign = authority("foreign");
+    assertThat(served(files("c", authority, foreign.getCertificatePEM(), NO_REREAD_MS))).isFalse();
+    assertThat(handled.get()).isEqualTo(0);
+  }
+
+  @Test
+  void clientWithoutTlsIsRefused() {
+    double before = refusals();
+    assertThat(served(null)).isFalse();
+    Awaitility.await().until(() -> refusals() > before);
+    assertThat(handled.get()).isEqualTo(0);
+  }
+
+  @Test
+  void rotationKeepsOpenConnectionsAndRefusesTheOldAuthorityOnNewOnes() throws Exception {
+    PeerTls oldFiles = files("old", authority, authority.getCertificatePEM(), NO_REREAD_MS);
+    X509Bundle next = authority("next");
+    PeerAddress address = TestPeers.addressOf(server);
+    NettyPeerTransport running = TestPeers.open("old", oldFiles);
+    try {
+      assertThat(TestPeers.answers(running, address)).isTrue();
+      files("s", next, next.getCertificatePEM(), REREAD_MS);
+      PeerTls newFiles = files("new", next, next.getCertificatePEM(), NO_REREAD_MS);
+      Awaitility.await().until(() -> served(newFiles));
+      assertThat(served(oldFiles)).isFalse();
+      assertThat(TestPeers.answers(running, address)).isTrue();
+    } finally {
+      running.close();
+    }
+  }
+
+  @Test
+  void unreadableFilesAreCountedAndChangeNothing() throws Exception {
+    double before = PeerMetrics.REJECTED.labelValues("tls_files").get();
+    Files.writeString(directory.resolve("s.key"), "no key");
+    Awaitility.await().until(() -> PeerMetrics.REJECTED.labelValues("tls_files").get() > before);
+    assertThat(served(files("c", authority, authority.getCertificatePEM(), NO_REREAD_MS))).isTrue();
+  }
+
+  private boolean served(@Nullable PeerTls tls) {
+    NettyPeerTransport client = TestPeers.open("c", tls);
+    try {
+      return TestPeers.answers(client, TestPeers.addressOf(server));
+    } finally {
+      client.close();
+    }
+  }
+
+  private NettyPeerTransport listening(String name, PeerTls tls) {
+    NettyPeerTransport transport = TestPeers.open(name, tls);
+    transport.listen(
+        message -> {
+          handled.incrementAndGet();
+          return TestPeers.ack();
+        });
+    return transport;
+  }
+
+  private PeerTls files(String name, X509Bundle issuer, String trustedPem, long rereadMs)
+      throws Exception {
+    X509Bundle leaf = new CertificateBuilder().ecp256().subject("CN=" + name).buildIssuedBy(issuer);
+    PeerTls files =
+        new PeerTls(
+            directory.resolve(name + ".crt"),
+            directory.resolve(name + ".key"),
+            directory.resolve(name + ".ca"),
+            rereadMs);
+    Files.writeString(files.certificateFile(), leaf.getCertificatePathPEM());
+    Files.writeString(files.keyFile(), leaf.getPrivateKeyPEM());
+    Files.writeString(files.caFile(), trustedPem);
+    return files;
+  }
+
+  private static X509Bundle authority(String name) {
+    try {
+      return new CertificateBuilder()
+          .ecp256()
+          .subject("CN=" + name)
+          .setIsCertificateAuthority(true)
+          .buildSelfSigned();
+    } catch (Exception failure) {
+      throw new IllegalStateException(failure);
+    }
+  }
+
+  private static double refusals() {
+    return PeerMetrics.REJECTED.labelValues(FrameError.TLS_REFUSED.label()).get();
+  }
+}
