--- /dev/null
+++ b/limpet-groups/src/main/java/org/limpetring/groups/control/GroupController.java
@@ -0,0 +1,261 @@
+package org.limpetring.groups.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicBoolean;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Collectors;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.base.Clock;
+import org.limpetring.base.DaemonId;
+import org.limpetring.base.FabricDomain;
+import org.limpetring.base.GroupId;
+import org.limpetring.base.HostId;
+import org.limpetring.groups.MemberPort;
+import org.limpetring.groups.Plan;
+import org.limpetring.groups.PlanCodec;
+import org.limpetring.groups.ServingGroup;
+import org.limpetring.groups.ServingView;
+import org.limpetring.groups.monitor.GroupMonitor;
+import org.limpetring.groups.monitor.MergedGroup;
+import org.limpetring.groups.monitor.Observation;
+import org.limpetring.groups.monitor.ObservationMerge;
+import org.limpetring.groups.monitor.ObservedGroup;
+import org.limpetring.groups.monitor.ReportBook;
+import org.limpetring.groups.monitor.Target;
+import org.limpetring.platform.ObjectStore;
+import org.limpetring.platform.StoredObject;
+import org.limpetring.tables.AcceptedConfig;
+
+/**
+ * Runs planning, orders and monitoring of one daemon.
+ *
+ * <p>{@link #tick} is called by one scheduler thread about four times a second and never blocks:
+ * asks for reports run on one executor, platform calls and orders on another. Readers use the
+ * snapshot behind an atomic reference.
+ */
+public final class GroupController {
+
+  private final DaemonId self;
+  private final Clock clock;
+  private final GroupInputs inputs;
+  private final ControlSettings settings;
+  private final PlanStore planStore;
+  private final PlanCache plans = new PlanCache();
+  private final Topology topology = new Topology();
+  private final ReportCollector collector;
+  private final GroupMonitor monitor;
+  private final ObservationMerge merge;
+  private final PlannerRound round;
+  private final Executor planExecutor;
+  private final AtomicBoolean isPlanning = new AtomicBoolean();
+  private final ConcurrentLinkedQueue<Observation> arrived = new ConcurrentLinkedQueue<>();
+  private final AtomicReference<ServingView> view = new AtomicReference<>(ServingView.EMPTY);
+  private final AtomicReference<Observation> own;
+  private List<ObservedGroup> published = List.of();
+  private long publishedMs;
+  private long planReadMs = Long.MIN_VALUE / 2;
+
+  /**
+   * Creates a controller that starts with {@link #tick}.
+   *
+   * @param reportExecutor runs blocking asks for reports; a small pool
+   * @param planExecutor runs blocking platform calls and orders; one thread
+   */
+  public GroupController(
+      DaemonId self,
+      Clock clock,
+      ObjectStore store,
+      MemberPort members,
+      GroupInputs inputs,
+      ControlSettings settings,
+      Executor reportExecutor,
+      Executor planExecutor) {
+    this.self = self;
+    this.clock = clock;
+    this.inputs = inputs;
+    this.settings = settings;
+    this.planStore = new PlanStore(store, self);
+    this.collector = new ReportCollector(clock, members, reportExecutor, settings.pollMs());
+    this.monitor = new GroupMonitor(settings.freshMs());
+    this.merge = new ObservationMerge(settings.freshMs());
+    this.round = new PlannerRound(clock, planStore, plans, members, inputs, settings);
+    this.planExecutor = planExecutor;
+    this.own = new AtomicReference<>(new Observation(self, 0, List.of()));
+  }
+
+  /** Does what is due now. */
+  public void tick() {
+    AcceptedConfig config = inputs.config();
+    topology.update(config, inputs.hosts());
+    collector.take().forEach(this::onAnswer);
+    round.takeSent().forEach(sent -> monitor.onOrder(sent.host(), sent.sentMs()));
+    List<Target> targets = topology.targets(plans.all());
+    collector.ask(addressesToAsk(targets));
+    publish(observe(targets));
+    refreshView();
+    startPlanning(config);
+  }
+
+  /** Takes another observer's statement; from any thread. */
+  public void onObservation(Observation observation) {
+    arrived.add(observation);
+  }
+
+  /** Takes a plan that a watch or a peer has delivered; from any thread. */
+  public void onPlan(StoredObject object) {
+    plans.offer(new StoredPlan(PlanCodec.decode(object.value()), object.version()));
+  }
+
+  /** What this daemon observes; its version grows whenever peers should hear of it. */
+  public Observation observation() {
+    return Objects.requireNonNull(own.get());
+  }
+
+  /** Groups that may take requests now; from any thread. */
+  public List<ServingGroup> serving() {
+    return view().servingAt(clock.nowMs());
+  }
+
+  /** Snapshot for the request path; from any thread. */
+  public ServingView view() {
+    return Objects.requireNonNull(view.get());
+  }
+
+  /** Plans known to this daemon; from any thread. */
+  public List<Plan> knownPlans() {
+    return plans.all();
+  }
+
+  /** Why a group serves or does not, for operators; from any thread. */
+  public List<String> explain(GroupId id) {
+    long nowMs = clock.nowMs();
+    List<String> lines = new ArrayList<>();
+    for (MergedGroup group : view().all()) {
+      if (group.group().id().equals(id)) {
+        lines.add(
+            id
+                + (group.servesAt(nowMs) ? " serves" : " does not serve: " + group.reason())
+                + ", epoch "
+                + group.group().epoch()
+                + ", members "
+                + group.group().members());
+      }
+    }
+    if (lines.isEmpty()) {
+      lines.add(id + " is not observed by any daemon heard of lately");
+    }
+    return lines;
+  }
+
+  private void onAnswer(ReportCollector.Answer answer) {
+    monitor.onReport(answer.host(), answer.result(), answer.askedMs());
+  }
+
+  private Map<HostId, String> addressesToAsk(List<Target> targets) {
+    Set<HostId> hosts = new HashSet<>();
+    for (Target target : targets) {
+      if (inputs.observes(target.group().entry())) {
+        hosts.addAll(target.group().members());
+      }
+    }
+    for (FabricDomain domain : topology.domains()) {
+      if (inputs.mayPlan(domain)) {
+        hosts.addAll(topology.orderedHosts(domain));
+      }
+    }
+    Map<HostId, String> addresses = new HashMap<>();
+    for (HostId host : hosts) {
+      @Nullable String address = topology.address(host);
+      if (address != null) {
+        addresses.put(host, address);
+      }
+    }
+    monitor.book().retain(hosts);
+    return addresses;
+  }
+
+  private List<ObservedGroup> observe(List<Target> targets) {
+    List<Target> observed =
+        targets.stream().filter(target -> inputs.observes(target.group().entry())).toList();
+    return monitor.observe(observed, clock.nowMs());
+  }
+
+  /** States the observation anew when a judgement has changed, and every so often. */
+  private void publish(List<ObservedGroup> observed) {
+    long nowMs = clock.nowMs();
+    boolean isDue = nowMs - publishedMs >= settings.publishMs();
+    if (isDue || !judgements(observed).equals(judgements(published))) {
+      published = observed;
+      publishedMs = nowMs;
+      own.set(new Observation(self, observation().version() + 1, observed));
+    }
+    merge.onObservation(observation(), publishedMs);
+  }
+
+  private static List<String> judgements(List<ObservedGroup> observed) {
+    return observed.stream()
+        .map(
+            group ->
+                group.group().id()
+                    + " "
+                    + group.group().epoch()
+                    + group.verdict()
+                    + group.group().incarnation()
+                    + group.group().cold())
+        .toList();
+  }
+
+  private void refreshView() {
+    long nowMs = clock.nowMs();
+    for (Observation next = arrived.poll(); next != null; next = arrived.poll()) {
+      merge.onObservation(next, nowMs);
+    }
+    view.set(ServingView.of(topology.withoutOut(merge.merge(nowMs))));
+  }
+
+  private void startPlanning(AcceptedConfig config) {
+    if (!isPlanning.compareAndSet(false, true)) {
+      return;
+    }
+    long nowMs = clock.nowMs();
+    boolean readsPlans = nowMs - planReadMs >= settings.planReadMs();
+    planReadMs = readsPlans ? nowMs : planReadMs;
+    ReportBook reports = monitor.book().copy();
+    Set<GroupId> serving =
+        view().servingAt(nowMs).stream().map(ServingGroup::id).collect(Collectors.toSet());
+    List<PlannerRound.Domain> domains = plannedDomains();
+    planExecutor.execute(
+        () -> {
+          try {
+            if (readsPlans) {
+              readPlans();
+            }
+            domains.forEach(domain -> round.run(domain, config, reports, serving));
+          } finally {
+            isPlanning.set(false);
+          }
+        });
+  }
+
+  private List<PlannerRound.Domain> plannedDomains() {
+    return topology.domains().stream()
+        .filter(inputs::mayPlan)
+        .map(domain -> PlannerRound.Domain.of(domain, topology))
+        .toList();
+  }
+
+  private void readPlans() {
+    @Nullable List<StoredPlan> read = planStore.readAll();
+    if (read != null) {
+      read.forEach(plans::offer);
+    }
+  }
+}
--- /dev/null
+++ b/limpet-groups/src/main/java/org/limpetring/groups/control/PlanStore.java
@@ -0,0 +1,94 @@
+package org.limpetring.groups.control;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.base.DaemonId;
+import org.limpetring.base.FabricDomain;
+import org.limpetring.base.LogEvent;
+import org.limpetring.groups.Plan;
+import org.limpetring.groups.PlanCodec;
+import org.limpetring.groups.monitor.GroupMetrics;
+import org.limpetring.platform.ListResult;
+import org.limpetring.platform.ObjectStore;
+import org.limpetring.platform.ReadResult;
+import org.limpetring.platform.StoredObject;
+import org.limpetring.platform.WriteResult;
+
+/** Reads and conditionally writes plans; settles a lost answer by reading back. */
+final class PlanStore {
+
+  private static final Logger LOGGER = Logger.getLogger(PlanStore.class);
+
+  private final ObjectStore store;
+  private final DaemonId self;
+  private long attempts;
+
+  PlanStore(ObjectStore store, DaemonId self) {
+    this.store = store;
+    this.self = self;
+  }
+
+  /** All plans, or null while the platform does not answer. */
+  @Nullable List<StoredPlan> readAll() {
+    if (!(store.list(PlanCodec.KEY_PREFIX) instanceof ListResult.Listed listed)) {
+      return null;
+    }
+    List<StoredPlan> plans = new ArrayList<>();
+    for (StoredObject object : listed.objects()) {
+      plans.add(stored(object));
+    }
+    return plans;
+  }
+
+  /** The plan in force, or null while the platform does not answer. */
+  @Nullable StoredPlan read(FabricDomain domain) {
+    ReadResult result = store.get(PlanCodec.key(domain));
+    if (result instanceof ReadResult.Found found) {
+      return stored(found.object());
+    }
+    if (result instanceof ReadResult.Missing) {
+      return new StoredPlan(Plan.empty(domain), 0);
+    }
+    return null;
+  }
+
+  /** Writes {@code next} over {@code before}; the stored plan, or null if it did not take hold. */
+  @Nullable StoredPlan replace(StoredPlan before, Plan next) {
+    String writer = self + "/" + ++attempts;
+    Plan signed = new Plan(next.domain(), next.epoch(), writer, next.groups());
+    String key = PlanCodec.key(next.domain());
+    WriteResult result = store.put(key, PlanCodec.encode(signed), before.version());
+    if (result instanceof WriteResult.Written written) {
+      return written(signed, written.version());
+    }
+    if (result instanceof WriteResult.Unknown) {
+      return readBack(signed);
+    }
+    if (result instanceof WriteResult.Conflict) {
+      GroupMetrics.PLAN_WRITES.labelValues("conflict").inc();
+      LogEvent.PLAN_CONFLICT.log(LOGGER, next.domain());
+      return null;
+    }
+    GroupMetrics.PLAN_WRITES.labelValues("unavailable").inc();
+    return null;
+  }
+
+  private @Nullable StoredPlan readBack(Plan signed) {
+    GroupMetrics.PLAN_WRITES.labelValues("unknown").inc();
+    @Nullable StoredPlan actual = read(signed.domain());
+    boolean isOwn = actual != null && actual.plan().writer().equals(signed.writer());
+    return isOwn ? actual : null;
+  }
+
+  private static StoredPlan written(Plan plan, long version) {
+    GroupMetrics.PLAN_WRITES.labelValues("written").inc();
+    LogEvent.PLAN_WRITTEN.log(LOGGER, plan.domain(), plan.epoch());
+    return new StoredPlan(plan, version);
+  }
+
+  private static StoredPlan stored(StoredObject object) {
+    return new StoredPlan(PlanCodec.decode(object.value()), object.version());
+  }
+}
--- /dev/null
+++ b/limpet-groups/src/main/java/org/limpetring/groups/control/PlannerRound.java
@@ -0,0 +1,197 @@
+package org.limpetring.groups.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentLinkedQueue;
+import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.base.Clock;
+import org.limpetring.base.FabricDomain;
+import org.limpetring.base.GroupId;
+import org.limpetring.base.HostId;
+import org.limpetring.base.LogEvent;
+import org.limpetring.groups.MemberOrder;
+import org.limpetring.groups.MemberPort;
+import org.limpetring.groups.OrderResult;
+import org.limpetring.groups.Plan;
+import org.limpetring.groups.monitor.GroupMetrics;
+import org.limpetring.groups.monitor.ReportBook;
+import org.limpetring.groups.order.OrderPlanner;
+import org.limpetring.groups.order.OrderPolicy;
+import org.limpetring.groups.plan.GroupPlanner;
+import org.limpetring.groups.plan.PlannerDecision;
+import org.limpetring.groups.plan.PlannerInput;
+import org.limpetring.tables.AcceptedConfig;
+
+/**
+ * One round of planning and orders for one fabric domain.
+ *
+ * <p>Reads the plan, decides, writes conditionally, then sends orders. Right before each order the
+ * role and the clock are checked; for engines that ignore fencing numbers the plan's version is
+ * read again. Runs on one thread.
+ */
+final class PlannerRound {
+
+  private static final Logger LOGGER = Logger.getLogger(PlannerRound.class);
+
+  private final Clock clock;
+  private final PlanStore store;
+  private final PlanCache cache;
+  private final MemberPort members;
+  private final GroupInputs inputs;
+  private final ControlSettings settings;
+  private final Map<FabricDomain, Deciders> deciders = new HashMap<>();
+  private final ConcurrentLinkedQueue<SentOrder> sentOrders = new ConcurrentLinkedQueue<>();
+
+  PlannerRound(
+      Clock clock,
+      PlanStore store,
+      PlanCache cache,
+      MemberPort members,
+      GroupInputs inputs,
+      ControlSettings settings) {
+    this.clock = clock;
+    this.store = store;
+    this.cache = cache;
+    this.members = members;
+    this.inputs = inputs;
+    this.settings = settings;
+  }
+
+  void run(Domain domain, AcceptedConfig config, ReportBook reports, Set<GroupId> serving) {
+    if (!inputs.mayPlan(domain.name())) {
+      return;
+    }
+    long startedMs = clock.nowMs();
+    @Nullable StoredPlan stored = store.read(domain.name());
+    if (stored == null) {
+      return;
+    }
+    cache.offer(stored);
+    Deciders decide = deciders.computeIfAbsent(domain.name(), name -> new Deciders(settings));
+    PlannerDecision decision =
+        decide.planner.plan(input(stored.plan(), config, reports, serving), startedMs);
+    if (decision instanceof PlannerDecision.Replace replace) {
+      stored = store.replace(stored, replace.plan());
+      if (stored == null) {
+        return;
+      }
+      cache.offer(stored);
+    }
+    sendOrders(domain, stored, reports, decide, startedMs);
+  }
+
+  /** Orders sent since the last call; from any thread. */
+  List<SentOrder> takeSent() {
+    List<SentOrder> taken = new ArrayList<>();
+    for (SentOrder next = sentOrders.poll(); next != null; next = sentOrders.poll()) {
+      taken.add(next);
+    }
+    return taken;
+  }
+
+  private PlannerInput input(
+      Plan plan, AcceptedConfig config, ReportBook reports, Set<GroupId> serving) {
+    List<Plan> others =
+        cache.all().stream().filter(other -> !other.domain().equals(plan.domain())).toList();
+    return new PlannerInput(
+        plan, others, config.pools(), config.marks(), inputs.hosts(), reports, serving);
+  }
+
+  private void sendOrders(
+      Domain domain, StoredPlan stored, ReportBook reports, Deciders decide, long startedMs) {
+    OrderPolicy policy =
+        new OrderPolicy(
+            settings.planner().freshMs(),
+            settings.orderRetryMs(),
+            Math.max(1, inputs.weights().loadsAtOnce()));
+    List<MemberOrder> due =
+        decide.orders.due(
+            stored.plan(), domain.addresses().keySet(), reports, policy, clock.nowMs());
+    for (MemberOrder order : due) {
+      if (!maySend(domain, stored, order, startedMs)) {
+        return;
+      }
+      send(domain, order);
+      decide.orders.onSent(order, clock.nowMs());
+    }
+  }
+
+  private boolean maySend(Domain domain, StoredPlan stored, MemberOrder order, long startedMs) {
+    if (!domain.fenced().contains(order.host())) {
+      @Nullable StoredPlan actual = store.read(domain.name());
+      if (actual == null || actual.version() != stored.version()) {
+        return withhold("plan changed");
+      }
+    }
+    if (!inputs.mayPlan(domain.name())) {
+      return withhold("role lost");
+    }
+    return clock.nowMs() - startedMs <= settings.roundMs() || withhold("paused");
+  }
+
+  private static boolean withhold(String reason) {
+    GroupMetrics.ORDERS_WITHHELD.labelValues(reason).inc();
+    return false;
+  }
+
+  private void send(Domain domain, MemberOrder order) {
+    @Nullable String address = domain.addresses().get(order.host());
+    if (address == null) {
+      return;
+    }
+    LogEvent.ORDER_SENT.log(LOGGER, order.kind(), order.host());
+    OrderResult result = members.order(address, order);
+    sentOrders.add(new SentOrder(order.host(), clock.nowMs()));
+    GroupMetrics.ORDERS.labelValues(order.kind().name(), result.getClass().getSimpleName()).inc();
+    if (!(result instanceof OrderResult.Taken)) {
+      LogEvent.ORDER_FAILED.log(LOGGER, order.kind(), order.host(), result);
+    }
+  }
+
+  /** Order that has left this daemon. */
+  record SentOrder(HostId host, long sentMs) {}
+
+  /**
+   * Fabric domain with its upstreams.
+   *
+   * @param addresses {@code ip:port} by host
+   * @param fenced hosts whose engines refuse old fencing numbers
+   */
+  record Domain(FabricDomain name, Map<HostId, String> addresses, Set<HostId> fenced) {
+
+    Domain {
+      addresses = Map.copyOf(addresses);
+      fenced = Set.copyOf(fenced);
+    }
+
+    static Domain of(FabricDomain name, Topology topology) {
+      Map<HostId, String> addresses = new HashMap<>();
+      Set<HostId> fenced = new HashSet<>();
+      for (HostId host : topology.orderedHosts(name)) {
+        @Nullable String address = topology.address(host);
+        if (address != null) {
+          addresses.put(host, address);
+        }
+        if (topology.checksFencing(host)) {
+          fenced.add(host);
+        }
+      }
+      return new Domain(name, addresses, fenced);
+    }
+  }
+
+  /** Decisions with their memory, one pair for each domain. */
+  private static final class Deciders {
+    private final GroupPlanner planner;
+    private final OrderPlanner orders = new OrderPlanner();
+
+    Deciders(ControlSettings settings) {
+      this.planner = new GroupPlanner(settings.planner());
+    }
+  }
+}
--- /dev/null
+++ b/limpet-groups/src/main/java/org/limpetring/groups/control/Topology.java
@@ -0,0 +1,140 @@
+package org.limpetring.groups.control;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeSet;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.base.FabricDomain;
+import org.limpetring.base.GroupId;
+import org.limpetring.base.HostId;
+import org.limpetring.groups.Plan;
+import org.limpetring.groups.PlannedGroup;
+import org.limpetring.groups.monitor.MergedGroup;
+import org.limpetring.groups.monitor.Target;
+import org.limpetring.platform.HostEntry;
+import org.limpetring.tables.AcceptedConfig;
+import org.limpetring.tables.Pool;
+
+/** Joins configuration and host list; remembers hosts that have dropped out of the list. */
+final class Topology {
+
+  private final Map<HostId, HostEntry> known = new HashMap<>();
+  private Map<HostId, Pool> poolOf = new LinkedHashMap<>();
+  private AcceptedConfig config = AcceptedConfig.NONE;
+
+  /** Takes the newest configuration and host list. */
+  void update(AcceptedConfig newConfig, List<HostEntry> hosts) {
+    for (HostEntry entry : hosts) {
+      known.put(entry.host(), entry);
+    }
+    if (newConfig.generation() == config.generation()) {
+      return;
+    }
+    config = newConfig;
+    Map<HostId, Pool> pools = new LinkedHashMap<>();
+    for (Pool pool : newConfig.pools().pools()) {
+      pool.hosts().forEach(host -> pools.put(host, pool));
+    }
+    poolOf = pools;
+  }
+
+  /** {@code ip:port} of the upstream on {@code host}, or null if it is in no pool or unlisted. */
+  @Nullable String address(HostId host) {
+    @Nullable HostEntry entry = known.get(host);
+    @Nullable Pool pool = poolOf.get(host);
+    return entry == null || pool == null ? null : entry.address() + ":" + pool.port();
+  }
+
+  /** Hosts of pools that take orders, within one fabric domain. */
+  List<HostId> orderedHosts(FabricDomain domain) {
+    List<HostId> hosts = new ArrayList<>();
+    poolOf.forEach(
+        (host, pool) -> {
+          @Nullable HostEntry entry = known.get(host);
+          if (pool.adapter().takesOrders()
+              && entry != null
+              && entry.fabricDomain().equals(domain)) {
+            hosts.add(host);
+          }
+        });
+    return hosts;
+  }
+
+  /** Fabric domains that have a host in a pool that takes orders. */
+  TreeSet<FabricDomain> domains() {
+    TreeSet<FabricDomain> domains = new TreeSet<>();
+    poolOf.forEach(
+        (host, pool) -> {
+          @Nullable HostEntry entry = known.get(host);
+          if (pool.adapter().takesOrders() && entry != null) {
+            domains.add(entry.fabricDomain());
+          }
+        });
+    return domains;
+  }
+
+  /** Whether the engine on {@code host} refuses old fencing numbers. */
+  boolean checksFencing(HostId host) {
+    @Nullable Pool pool = poolOf.get(host);
+    return pool != null && pool.checksFencing();
+  }
+
+  /** Every group that should serve: those of the plans and one for each plain service. */
+  List<Target> targets(List<Plan> plans) {
+    List<Target> targets = new ArrayList<>();
+    for (Plan plan : plans) {
+      plan.groups().forEach(group -> addTarget(group, true, targets));
+    }
+    poolOf.forEach(
+        (host, pool) -> {
+          if (!pool.adapter().takesOrders()) {
+            addTarget(plainGroup(host, pool), false, targets);
+          }
+        });
+    return targets;
+  }
+
+  /** Closes every group that has a member out of service by this daemon's own configuration. */
+  List<MergedGroup> withoutOut(List<MergedGroup> merged) {
+    return merged.stream()
+        .map(
+            group ->
+                isOut(group.group().members())
+                    ? MergedGroup.closed(group.group(), "out of service or leaving")
+                    : group)
+        .toList();
+  }
+
+  private void addTarget(PlannedGroup group, boolean takesOrders, List<Target> targets) {
+    @Nullable HostEntry entry = known.get(group.entry());
+    @Nullable String address = address(group.entry());
+    if (entry != null && address != null) {
+      targets.add(
+          new Target(group, takesOrders, address, entry.failureDomain(), isOut(group.members())));
+    }
+  }
+
+  private boolean isOut(List<HostId> members) {
+    for (HostId member : members) {
+      @Nullable HostEntry entry = known.get(member);
+      if (entry != null
+          && (entry.leaving() || config.marks().isOut(member, entry.failureDomain()))) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  private static PlannedGroup plainGroup(HostId host, Pool pool) {
+    return new PlannedGroup(
+        new GroupId(host.value()),
+        pool.name(),
+        pool.model(),
+        0,
+        PlannedGroup.State.SERVING,
+        List.of(host));
+  }
+}
--- /dev/null
+++ b/limpet-groups/src/main/java/org/limpetring/groups/monitor/GroupMonitor.java
@@ -0,0 +1,181 @@
+package org.limpetring.groups.monitor;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.stream.Collectors;
+import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.base.GroupId;
+import org.limpetring.base.HostId;
+import org.limpetring.base.Invariant;
+import org.limpetring.base.LogEvent;
+import org.limpetring.groups.MemberReport;
+import org.limpetring.groups.PlannedGroup;
+import org.limpetring.groups.ReportResult;
+import org.limpetring.groups.ServingGroup;
+import org.limpetring.groups.monitor.ObservedGroup.Verdict;
+
+/**
+ * Decides which of the groups that this daemon observes are whole.
+ *
+ * <p>A group is whole while each member has, within the freshness bound, confirmed this group and
+ * this epoch by a report asked for after the last order that this daemon sent it. A failed ask
+ * closes the group at once. A member with another incarnation closes it until every member has
+ * confirmed again. Not thread-safe.
+ */
+public final class GroupMonitor {
+
+  private static final Logger LOGGER = Logger.getLogger(GroupMonitor.class);
+
+  private final ReportBook book = new ReportBook();
+  private final GroupCheck check;
+  private final Map<HostId, Long> orderedMs = new HashMap<>();
+  private final Map<GroupId, Memory> memories = new HashMap<>();
+
+  /** Accepts reports that were asked for at most {@code freshMs} ago. */
+  public GroupMonitor(long freshMs) {
+    this.check = new GroupCheck(book, freshMs);
+  }
+
+  /** Takes the result of an ask that was sent at {@code askedMs}. */
+  public void onReport(HostId host, ReportResult result, long askedMs) {
+    book.onResult(host, result, askedMs);
+  }
+
+  /** Notes that an order went to {@code host} at {@code sentMs}; earlier reports do not count. */
+  public void onOrder(HostId host, long sentMs) {
+    orderedMs.merge(host, sentMs, Math::max);
+  }
+
+  /** Newest status of each upstream. */
+  public ReportBook book() {
+    return book;
+  }
+
+  /** Judges {@code targets} and forgets every other group. */
+  public List<ObservedGroup> observe(List<Target> targets, long nowMs) {
+    Set<GroupId> ids = new HashSet<>();
+    List<ObservedGroup> observed = new ArrayList<>();
+    for (Target target : targets) {
+      ids.add(target.group().id());
+      observed.add(observe(target, nowMs));
+    }
+    memories.keySet().retainAll(ids);
+    return observed;
+  }
+
+  private ObservedGroup observe(Target target, long nowMs) {
+    Memory memory = memories.computeIfAbsent(target.group().id(), id -> new Memory());
+    GroupCheck.Finding finding = finding(target, memory, nowMs);
+    boolean isWhole = finding.kind() == GroupCheck.Kind.WHOLE;
+    if (isWhole) {
+      Invariant.GROUP_WHOLE.check(
+          check.allConfirm(target.group(), target.takesOrders(), nowMs),
+          target.group().id() + " judged whole at " + nowMs);
+      Invariant.NO_WORK_WHEN_OUT.check(!target.out(), target.group().id() + " is out");
+    }
+    memory.note(target.group(), isWhole, finding.reason());
+    Verdict verdict =
+        switch (finding.kind()) {
+          case WHOLE -> Verdict.WHOLE;
+          case SILENT -> Verdict.SILENT;
+          case CONTRADICTED -> Verdict.CONTRADICTED;
+        };
+    return new ObservedGroup(
+        servingGroup(target), verdict, ageMs(target.group(), nowMs), finding.reason());
+  }
+
+  private GroupCheck.Finding finding(Target target, Memory memory, long nowMs) {
+    PlannedGroup group = target.group();
+    if (target.out()) {
+      return contradicted("out of service or leaving");
+    }
+    if (group.state() != PlannedGroup.State.SERVING) {
+      return contradicted("draining");
+    }
+    GroupCheck.Finding finding = check.check(group, target.takesOrders(), nowMs);
+    if (finding.kind() != GroupCheck.Kind.WHOLE) {
+      return finding;
+    }
+    memory.noteIncarnation(group.epoch(), incarnation(check.reports(group)), nowMs);
+    return confirmed(group, memory.confirmAfterMs);
+  }
+
+  private GroupCheck.Finding confirmed(PlannedGroup group, long confirmAfterMs) {
+    for (HostId member : group.members()) {
+      long notBeforeMs = Math.max(confirmAfterMs, orderedMs.getOrDefault(member, Long.MIN_VALUE));
+      if (book.status(member).askedMs() < notBeforeMs) {
+        return contradicted(member + ": not confirmed since its last order or restart");
+      }
+    }
+    return GroupCheck.Finding.WHOLE;
+  }
+
+  private ServingGroup servingGroup(Target target) {
+    PlannedGroup group = target.group();
+    List<MemberReport> reports = check.reports(group);
+    return new ServingGroup(
+        group.id(),
+        group.pool(),
+        group.epoch(),
+        group.members(),
+        target.entryAddress(),
+        target.failureDomain(),
+        incarnation(reports),
+        reports.stream().anyMatch(report -> !report.warm()),
+        reportedLoad(group.entry()));
+  }
+
+  private int reportedLoad(HostId entry) {
+    @Nullable MemberReport report = book.status(entry).report();
+    return report == null ? 0 : report.running() + report.waiting();
+  }
+
+  private long ageMs(PlannedGroup group, long nowMs) {
+    long oldestMs = nowMs;
+    for (HostId member : group.members()) {
+      oldestMs = Math.min(oldestMs, book.status(member).askedMs());
+    }
+    return nowMs - oldestMs;
+  }
+
+  private static String incarnation(List<MemberReport> reports) {
+    return reports.stream().map(MemberReport::incarnation).collect(Collectors.joining("+"));
+  }
+
+  private static GroupCheck.Finding contradicted(String reason) {
+    return new GroupCheck.Finding(GroupCheck.Kind.CONTRADICTED, reason);
+  }
+
+  /** What the monitor remembers of one group. */
+  private static final class Memory {
+
+    private long epoch = -1;
+    private String incarnation = "";
+    private long confirmAfterMs = Long.MIN_VALUE;
+    private boolean wasWhole;
+
+    void noteIncarnation(long newEpoch, String newIncarnation, long nowMs) {
+      if (newEpoch == epoch && !newIncarnation.equals(incarnation)) {
+        confirmAfterMs = nowMs;
+      }
+      epoch = newEpoch;
+      incarnation = newIncarnation;
+    }
+
+    void note(PlannedGroup group, boolean isWhole, String reason) {
+      if (isWhole && !wasWhole) {
+        LogEvent.GROUP_OPENED.log(LOGGER, group.id(), group.epoch());
+      }
+      if (!isWhole && wasWhole) {
+        LogEvent.GROUP_CLOSED.log(LOGGER, group.id(), reason);
+        GroupMetrics.CLOSURES.inc();
+      }
+      wasWhole = isWhole;
+    }
+  }
+}
--- /dev/null
+++ b/limpet-groups/src/main/java/org/limpetring/groups/order/OrderPlanner.java
@@ -0,0 +1,151 @@
+package org.limpetring.groups.order;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.base.GroupId;
+import org.limpetring.base.HostId;
+import org.limpetring.base.LogEvent;
+import org.limpetring.groups.MemberOrder;
+import org.limpetring.groups.MemberReport;
+import org.limpetring.groups.Plan;
+import org.limpetring.groups.PlannedGroup;
+import org.limpetring.groups.monitor.GroupMetrics;
+import org.limpetring.groups.monitor.ReportBook;
+
+/**
+ * Decides which orders bring the upstreams of one fabric domain to its plan.
+ *
+ * <p>An upstream gets an order only while its report differs from the plan. Orders that make a host
+ * fetch weights keep to the weight store's rate, the group with fewest loads left first, so that
+ * whole groups come up one after another. Not thread-safe.
+ */
+public final class OrderPlanner {
+
+  private static final Logger LOGGER = Logger.getLogger(OrderPlanner.class);
+
+  private final Map<HostId, Sent> sent = new HashMap<>();
+  private final Map<HostId, MemberReport> confirmed = new HashMap<>();
+
+  /** Orders due at {@code nowMs}; {@code hosts} are the upstreams of the domain's pools. */
+  public List<MemberOrder> due(
+      Plan plan, Set<HostId> hosts, ReportBook reports, OrderPolicy policy, long nowMs) {
+    LoadSlots slots = new LoadSlots(plan, reports, policy, nowMs);
+    List<MemberOrder> due = new ArrayList<>();
+    Set<HostId> planned = new HashSet<>();
+    for (PlannedGroup group : byLoadsLeft(plan, reports)) {
+      planned.addAll(group.members());
+      addGroup(group, reports, policy, slots, nowMs, due);
+    }
+    for (HostId host : hosts) {
+      if (!planned.contains(host)) {
+        addRelease(plan, host, reports, policy, nowMs, due);
+      }
+    }
+    return due;
+  }
+
+  /** Notes that an order was sent, whatever became of it. */
+  public void onSent(MemberOrder order, long nowMs) {
+    sent.put(order.host(), new Sent(order.group(), order.epoch(), order.kind(), nowMs));
+  }
+
+  private void addGroup(
+      PlannedGroup group,
+      ReportBook reports,
+      OrderPolicy policy,
+      LoadSlots slots,
+      long nowMs,
+      List<MemberOrder> due) {
+    for (int rank = 0; rank < group.members().size(); rank++) {
+      HostId host = group.members().get(rank);
+      @Nullable MemberReport report = reports.status(host).freshReport(nowMs, policy.freshMs());
+      if (report == null) {
+        continue;
+      }
+      if (group.id().equals(report.group()) && report.epoch() == group.epoch()) {
+        confirmed.put(host, report);
+        continue;
+      }
+      noteStale(group, report);
+      MemberOrder order =
+          new MemberOrder(
+              group.state().order(),
+              host,
+              group.id(),
+              group.epoch(),
+              group.model(),
+              rank,
+              group.members());
+      if (isDue(order, policy, nowMs) && slots.permit(order, report)) {
+        due.add(order);
+      }
+    }
+  }
+
+  private void addRelease(
+      Plan plan,
+      HostId host,
+      ReportBook reports,
+      OrderPolicy policy,
+      long nowMs,
+      List<MemberOrder> due) {
+    @Nullable MemberReport report = reports.status(host).freshReport(nowMs, policy.freshMs());
+    if (report == null || report.group() == null) {
+      return;
+    }
+    MemberOrder order =
+        new MemberOrder(
+            MemberOrder.Kind.RELEASE, host, report.group(), plan.epoch(), "", 0, List.of());
+    if (isDue(order, policy, nowMs)) {
+      due.add(order);
+    }
+  }
+
+  private boolean isDue(MemberOrder order, OrderPolicy policy, long nowMs) {
+    @Nullable Sent last = sent.get(order.host());
+    return last == null
+        || !last.group().equals(order.group())
+        || last.epoch() != order.epoch()
+        || last.kind() != order.kind()
+        || nowMs - last.sentMs() >= policy.retryMs();
+  }
+
+  /** A member that had confirmed the planned epoch and now reports a lower one was misled. */
+  private void noteStale(PlannedGroup group, MemberReport report) {
+    @Nullable MemberReport before = confirmed.remove(report.host());
+    boolean wasMisled =
+        before != null
+            && before.epoch() == group.epoch()
+            && before.incarnation().equals(report.incarnation())
+            && report.epoch() < group.epoch();
+    if (wasMisled) {
+      GroupMetrics.STALE_ORDERS.inc();
+      LogEvent.STALE_ORDER_FOUND.log(
+          LOGGER, report.host(), report.group() + " at epoch " + report.epoch());
+    }
+  }
+
+  private static List<PlannedGroup> byLoadsLeft(Plan plan, ReportBook reports) {
+    return plan.groups().stream()
+        .sorted(
+            Comparator.comparingLong((PlannedGroup group) -> loadsLeft(group, reports))
+                .thenComparing(PlannedGroup::id))
+        .toList();
+  }
+
+  private static long loadsLeft(PlannedGroup group, ReportBook reports) {
+    return group.members().stream()
+        .map(member -> reports.status(member).report())
+        .filter(report -> report == null || !report.heldModels().contains(group.model()))
+        .count();
+  }
+
+  private record Sent(GroupId group, long epoch, MemberOrder.Kind kind, long sentMs) {}
+}
--- /dev/null
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/DomainHosts.java
@@ -0,0 +1,79 @@
+package org.limpetring.groups.plan;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.base.HostId;
+import org.limpetring.groups.MemberReport;
+import org.limpetring.groups.monitor.MemberStatus;
+import org.limpetring.platform.HostEntry;
+
+/** The hosts of one fabric domain as the planner judges them at one moment. */
+final class DomainHosts {
+
+  private final PlannerInput input;
+  private final PlannerPolicy policy;
+  private final long nowMs;
+  private final Map<HostId, HostEntry> entries = new HashMap<>();
+
+  DomainHosts(PlannerInput input, PlannerPolicy policy, long nowMs) {
+    this.input = input;
+    this.policy = policy;
+    this.nowMs = nowMs;
+    for (HostEntry entry : input.hosts()) {
+      if (entry.fabricDomain().equals(input.plan().domain())) {
+        entries.put(entry.host(), entry);
+      }
+    }
+  }
+
+  /** Whether the host list places the host in this domain. */
+  boolean contains(HostId host) {
+    return entries.containsKey(host);
+  }
+
+  HostCondition condition(HostId host) {
+    @Nullable HostEntry entry = entries.get(host);
+    if (entry != null && input.marks().outDomains().contains(entry.failureDomain())) {
+      return HostCondition.OUT;
+    }
+    MemberStatus status = input.reports().status(host);
+    if (status.missingMs(nowMs) >= policy.patienceMs()) {
+      return HostCondition.LOST;
+    }
+    if (input.marks().outHosts().contains(host) || entry != null && entry.leaving()) {
+      return HostCondition.RETIRING;
+    }
+    @Nullable MemberReport report = freshReport(host);
+    if (report == null) {
+      return HostCondition.PAUSED;
+    }
+    return report.leaving() ? HostCondition.RETIRING : HostCondition.USABLE;
+  }
+
+  /** Whether the host has the weights of {@code model} on hand by its last report. */
+  boolean holds(HostId host, String model) {
+    @Nullable MemberReport report = input.reports().status(host).report();
+    return report != null && report.heldModels().contains(model);
+  }
+
+  /** Report that still counts, or null. */
+  @Nullable MemberReport freshReport(HostId host) {
+    return input.reports().status(host).freshReport(nowMs, policy.freshMs());
+  }
+
+  /** Last report, fresh or not. */
+  @Nullable MemberReport lastReport(HostId host) {
+    return input.reports().status(host).report();
+  }
+
+  /** Highest fencing number that any of the domain's upstreams has reported. */
+  long highestEpoch() {
+    long highest = 0;
+    for (HostId host : entries.keySet()) {
+      @Nullable MemberReport report = lastReport(host);
+      highest = report == null ? highest : Math.max(highest, report.epoch());
+    }
+    return highest;
+  }
+}
--- /dev/null
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/GroupPlanner.java
@@ -0,0 +1,99 @@
+package org.limpetring.groups.plan;
+
+import java.util.HashMap;
+import java.util.Map;
+import java.util.stream.Collectors;
+import org.limpetring.base.GroupId;
+import org.limpetring.base.PoolName;
+import org.limpetring.groups.PlannedGroup;
+import org.limpetring.groups.PlannedGroup.State;
+import org.limpetring.tables.Pool;
+
+/**
+ * Decides the groups of one fabric domain: least downtime first, fewest stranded hosts second.
+ *
+ * <p>Its memory (when a group was first seen draining, when it last moved one) is a matter of pace
+ * only; a new planner starts without it. Not thread-safe.
+ */
+public final class GroupPlanner {
+
+  private final PlannerPolicy policy;
+  private final Pace pace = new Pace();
+
+  /** Plans by {@code policy}. */
+  public GroupPlanner(PlannerPolicy policy) {
+    this.policy = policy;
+  }
+
+  /** Decides at {@code nowMs} on the monotonic clock whether the plan must change. */
+  public PlannerDecision plan(PlannerInput input, long nowMs) {
+    DomainHosts hosts = new DomainHosts(input, policy, nowMs);
+    long nextEpoch = Math.max(input.plan().epoch(), hosts.highestEpoch()) + 1;
+    PlanDraft draft = new PlanDraft(input.plan(), nextEpoch);
+    pace.note(input.plan().groups(), nowMs);
+    Map<PoolName, Pool> pools =
+        input.pools().pools().stream()
+            .filter(pool -> pool.adapter().takesOrders())
+            .collect(Collectors.toMap(Pool::name, pool -> pool));
+    for (PlannedGroup group : input.plan().groups()) {
+      if (!pools.containsKey(group.pool())) {
+        new GroupStop(hosts, policy, pace, nowMs).retire(draft, group, "pool is gone");
+      }
+    }
+    pools.values().stream()
+        .sorted((left, right) -> left.name().compareTo(right.name()))
+        .forEach(pool -> new PoolFormation(pool, input, hosts, policy, pace, nowMs).form(draft));
+    renewOutranked(draft, hosts);
+    return draft.toDecision();
+  }
+
+  /** A member may have obeyed a number not below its group's, from a lost or deleted plan. */
+  private static void renewOutranked(PlanDraft draft, DomainHosts hosts) {
+    for (PlannedGroup group : draft.groups()) {
+      boolean isOutranked =
+          group.members().stream()
+              .map(hosts::lastReport)
+              .anyMatch(
+                  report ->
+                      report != null
+                          && (report.epoch() > group.epoch()
+                              || report.epoch() == group.epoch()
+                                  && !group.id().equals(report.group())));
+      if (isOutranked) {
+        draft.renew(group, "a member has obeyed a higher fencing number");
+      }
+    }
+  }
+
+  /** Memory that bounds the pace of planned changes. */
+  static final class Pace {
+
+    private final Map<GroupId, Long> drainingSinceMs = new HashMap<>();
+    private long lastMoveMs = Long.MIN_VALUE / 2;
+
+    void note(Iterable<PlannedGroup> groups, long nowMs) {
+      Map<GroupId, Long> current = new HashMap<>();
+      for (PlannedGroup group : groups) {
+        if (group.state() == State.DRAINING) {
+          current.put(group.id(), drainingSinceMs.getOrDefault(group.id(), nowMs));
+        }
+      }
+      drainingSinceMs.clear();
+      drainingSinceMs.putAll(current);
+    }
+
+    /** How long the group has been draining, as far as this planner knows, in ms. */
+    long drainingMs(GroupId group, long nowMs) {
+      return nowMs - drainingSinceMs.getOrDefault(group, nowMs);
+    }
+
+    /** Takes the right to one voluntary change, if the last lies far enough back. */
+    boolean tryMove(long pauseMs, long nowMs) {
+      if (nowMs - lastMoveMs < pauseMs) {
+        return false;
+      }
+      lastMoveMs = nowMs;
+      return true;
+    }
+  }
+}
--- /dev/null
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/PlanDraft.java
@@ -0,0 +1,104 @@
+package org.limpetring.groups.plan;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.limpetring.base.GroupId;
+import org.limpetring.base.HostId;
+import org.limpetring.base.PoolName;
+import org.limpetring.groups.Plan;
+import org.limpetring.groups.PlannedGroup;
+import org.limpetring.groups.PlannedGroup.State;
+import org.limpetring.tables.Pool;
+
+/** Plan in the making; every change carries the epoch that the new plan will have. */
+final class PlanDraft {
+
+  private static final int NAME_PART_LENGTH = 40;
+
+  private final Plan before;
+  private final long epoch;
+  private final List<PlannedGroup> groups;
+  private final Set<HostId> assigned = new HashSet<>();
+  private final List<String> reasons = new ArrayList<>();
+  private int added;
+
+  PlanDraft(Plan before, long epoch) {
+    this.before = before;
+    this.epoch = epoch;
+    this.groups = new ArrayList<>(before.groups());
+    groups.forEach(group -> assigned.addAll(group.members()));
+  }
+
+  /** Groups of one pool, in plan order. */
+  List<PlannedGroup> groups(PoolName pool) {
+    return groups.stream().filter(group -> group.pool().equals(pool)).toList();
+  }
+
+  List<PlannedGroup> groups() {
+    return List.copyOf(groups);
+  }
+
+  boolean isAssigned(HostId host) {
+    return assigned.contains(host);
+  }
+
+  void add(Pool pool, List<HostId> members) {
+    GroupId id =
+        new GroupId(
+            shortened(pool.name().value())
+                + "/"
+                + shortened(before.domain().value())
+                + "/"
+                + epoch
+                + "."
+                + added++);
+    groups.add(new PlannedGroup(id, pool.name(), pool.model(), epoch, State.SERVING, members));
+    assigned.addAll(members);
+    reasons.add("formed " + id);
+  }
+
+  PlannedGroup setState(PlannedGroup group, State state, String reason) {
+    PlannedGroup changed = group.withState(state, epoch);
+    groups.set(groups.indexOf(group), changed);
+    reasons.add(group.id() + " " + state + ": " + reason);
+    return changed;
+  }
+
+  PlannedGroup replaceMember(PlannedGroup group, HostId old, HostId replacement, String reason) {
+    List<HostId> members = new ArrayList<>(group.members());
+    members.set(members.indexOf(old), replacement);
+    PlannedGroup changed = group.withMembers(members, epoch);
+    groups.set(groups.indexOf(group), changed);
+    assigned.remove(old);
+    assigned.add(replacement);
+    reasons.add(group.id() + " " + old + " replaced by " + replacement + ": " + reason);
+    return changed;
+  }
+
+  /** Gives the group a new epoch, so that its orders outrank what its members have obeyed. */
+  void renew(PlannedGroup group, String reason) {
+    setState(group, group.state(), reason);
+  }
+
+  void remove(PlannedGroup group, String reason) {
+    groups.remove(group);
+    assigned.removeAll(group.members());
+    reasons.add("dissolved " + group.id() + ": " + reason);
+  }
+
+  PlannerDecision toDecision() {
+    if (reasons.isEmpty()) {
+      return new PlannerDecision.Keep();
+    }
+    return new PlannerDecision.Replace(new Plan(before.domain(), epoch, "", groups), reasons);
+  }
+
+  private static String shortened(String name) {
+    if (name.length() <= NAME_PART_LENGTH) {
+      return name;
+    }
+    return name.substring(0, NAME_PART_LENGTH - 9) + "-" + Integer.toHexString(name.hashCode());
+  }
+}
--- /dev/null
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/PlannerPolicy.java
@@ -0,0 +1,32 @@
+package org.limpetring.groups.plan;
+
+/**
+ * Times and rates that the planner goes by.
+ *
+ * @param freshMs age up to which a report counts
+ * @param patienceMs how long a silent member keeps its place
+ * @param drainMinMs time between the order to drain and the earliest dissolution
+ * @param drainDeadlineMs time after which a group is dissolved although requests are in progress
+ * @param movePauseMs least time between two voluntary changes: a group reopened or stopped
+ * @param swapsBack whether a free host with weights replaces a member that still loads them
+ * @param breaksUp whether incomplete groups give hosts to others
+ */
+public record PlannerPolicy(
+    long freshMs,
+    long patienceMs,
+    long drainMinMs,
+    long drainDeadlineMs,
+    long movePauseMs,
+    boolean swapsBack,
+    boolean breaksUp) {
+
+  /** Policy of the daemon. */
+  public static final PlannerPolicy DEFAULT =
+      new PlannerPolicy(3_000, 3_000, 3_000, 900_000, 1_000, true, true);
+
+  /** The same policy with another patience. */
+  public PlannerPolicy withPatienceMs(long newPatienceMs) {
+    return new PlannerPolicy(
+        freshMs, newPatienceMs, drainMinMs, drainDeadlineMs, movePauseMs, swapsBack, breaksUp);
+  }
+}
--- /dev/null
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/PoolFormation.java
@@ -0,0 +1,285 @@
+package org.limpetring.groups.plan;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.base.FabricDomain;
+import org.limpetring.base.HostId;
+import org.limpetring.groups.MemberReport;
+import org.limpetring.groups.Plan;
+import org.limpetring.groups.PlannedGroup;
+import org.limpetring.groups.PlannedGroup.State;
+import org.limpetring.tables.Pool;
+
+/** Decides the groups of one pool within one fabric domain. */
+final class PoolFormation {
+
+  private final Pool pool;
+  private final PlannerInput input;
+  private final DomainHosts hosts;
+  private final PlannerPolicy policy;
+  private final GroupPlanner.Pace pace;
+  private final GroupStop stop;
+  private final long nowMs;
+  private final PoolQuota quotas;
+  private final int quota;
+
+  PoolFormation(
+      Pool pool,
+      PlannerInput input,
+      DomainHosts hosts,
+      PlannerPolicy policy,
+      GroupPlanner.Pace pace,
+      long nowMs) {
+    this.pool = pool;
+    this.input = input;
+    this.hosts = hosts;
+    this.policy = policy;
+    this.pace = pace;
+    this.nowMs = nowMs;
+    this.stop = new GroupStop(hosts, policy, pace, nowMs);
+    this.quotas = new PoolQuota(pool, input.hosts(), input.marks());
+    this.quota = quotas.of(input.plan().domain());
+  }
+
+  void form(PlanDraft draft) {
+    for (PlannedGroup group : draft.groups(pool.name())) {
+      review(draft, group);
+    }
+    repair(draft);
+    reopen(draft);
+    formNew(draft);
+    stopSurplus(draft);
+    if (policy.swapsBack()) {
+      swapBack(draft);
+    }
+  }
+
+  private void review(PlanDraft draft, PlannedGroup group) {
+    if (hasMember(group, HostCondition.OUT)) {
+      if (group.state() == State.SERVING) {
+        draft.setState(group, State.DRAINING, "failure domain is out");
+      }
+      return;
+    }
+    if (hasMember(group, HostCondition.RETIRING)) {
+      stop.retire(draft, group, "a member is leaving or out");
+      return;
+    }
+    if (!fitsPool(group)) {
+      boolean mayStop = group.state() == State.DRAINING || noneDraining(draft) && tryMove();
+      if (mayStop) {
+        stop.retire(draft, group, "pool has changed");
+      }
+      return;
+    }
+    if (group.state() == State.DRAINING && hasMember(group, HostCondition.LOST)) {
+      draft.remove(group, "member lost while draining");
+    }
+  }
+
+  /** Fills the places of lost members from free hosts, then from other incomplete groups. */
+  private void repair(PlanDraft draft) {
+    List<PlannedGroup> broken = brokenGroups(draft);
+    while (!broken.isEmpty()) {
+      PlannedGroup target = broken.remove(0);
+      int needed = lostMembers(target).size();
+      int free = freeHosts(draft).size();
+      List<PlannedGroup> donors = policy.breaksUp() ? donors(broken, needed - free) : List.of();
+      int given = donors.stream().mapToInt(donor -> usableMembers(donor).size()).sum();
+      if (free + given < needed) {
+        return;
+      }
+      for (PlannedGroup donor : donors) {
+        broken.remove(donor);
+        draft.remove(donor, "its hosts complete " + target.id());
+      }
+      fill(draft, target);
+    }
+  }
+
+  private void fill(PlanDraft draft, PlannedGroup target) {
+    PlannedGroup current = target;
+    for (HostId lost : lostMembers(target)) {
+      HostId spare = freeHosts(draft).get(0);
+      current = draft.replaceMember(current, lost, spare, "lost");
+    }
+  }
+
+  /** Smallest set of broken groups, most damaged first, that gives {@code needed} hosts. */
+  private List<PlannedGroup> donors(List<PlannedGroup> broken, int needed) {
+    List<PlannedGroup> donors = new ArrayList<>();
+    int given = 0;
+    for (int index = broken.size() - 1; index >= 0 && given < needed; index--) {
+      donors.add(broken.get(index));
+      given += usableMembers(broken.get(index)).size();
+    }
+    return donors;
+  }
+
+  /** Groups that stopped returning to service at a bounded pace; they still hold the weights. */
+  private void reopen(PlanDraft draft) {
+    int serving = servingPlanned(draft);
+    for (PlannedGroup group : draft.groups(pool.name())) {
+      boolean mayReturn =
+          group.state() == State.DRAINING
+              && fitsPool(group)
+              && group.members().stream()
+                  .allMatch(member -> hosts.condition(member) == HostCondition.USABLE);
+      if (!mayReturn) {
+        continue;
+      }
+      if (serving >= quota) {
+        stop.retire(draft, group, "more groups than wanted");
+      } else if (tryMove()) {
+        draft.setState(group, State.SERVING, "in service again");
+        serving++;
+      }
+    }
+  }
+
+  private void formNew(PlanDraft draft) {
+    int planned = servingPlanned(draft) + waitingToReturn(draft);
+    while (planned < quota) {
+      List<HostId> free = freeHosts(draft);
+      if (free.size() < pool.groupSize()) {
+        return;
+      }
+      draft.add(pool, free.subList(0, pool.groupSize()));
+      planned++;
+    }
+  }
+
+  private void stopSurplus(PlanDraft draft) {
+    int surplus = servingPlanned(draft) - quota;
+    if (surplus <= 0) {
+      return;
+    }
+    for (PlannedGroup group : brokenGroups(draft)) {
+      if (surplus > 0) {
+        draft.remove(group, "incomplete and more than wanted");
+        surplus--;
+      }
+    }
+    if (surplus > 0 && othersServeTheirQuota() && tryMove()) {
+      List<PlannedGroup> serving = servingGroups(draft);
+      draft.setState(serving.get(serving.size() - 1), State.DRAINING, "more groups than wanted");
+    }
+  }
+
+  /** Puts a free host that has the weights in the place of a member that still loads them. */
+  private void swapBack(PlanDraft draft) {
+    for (PlannedGroup group : servingGroups(draft)) {
+      PlannedGroup current = group;
+      for (HostId member : group.members()) {
+        List<HostId> free = freeHosts(draft);
+        if (free.isEmpty() || !hosts.holds(free.get(0), pool.model())) {
+          return;
+        }
+        if (isLoading(member)) {
+          current = draft.replaceMember(current, member, free.get(0), "has the weights already");
+        }
+      }
+    }
+  }
+
+  private boolean isLoading(HostId member) {
+    @Nullable MemberReport report = hosts.freshReport(member);
+    return report != null && !report.ready() && !report.heldModels().contains(pool.model());
+  }
+
+  /** Usable hosts of the pool without a group, those with the weights first. */
+  private List<HostId> freeHosts(PlanDraft draft) {
+    return pool.hosts().stream()
+        .filter(host -> hosts.contains(host) && !draft.isAssigned(host))
+        .filter(host -> hosts.condition(host) == HostCondition.USABLE)
+        .sorted(
+            Comparator.comparing((HostId host) -> !hosts.holds(host, pool.model()))
+                .thenComparing(host -> host))
+        .toList();
+  }
+
+  /** Serving groups with a lost member, least damaged first. */
+  private List<PlannedGroup> brokenGroups(PlanDraft draft) {
+    return new ArrayList<>(
+        servingGroups(draft).stream()
+            .filter(group -> hasMember(group, HostCondition.LOST))
+            .filter(group -> !input.serving().contains(group.id()))
+            .sorted(
+                Comparator.comparingInt((PlannedGroup group) -> lostMembers(group).size())
+                    .thenComparing(PlannedGroup::id))
+            .toList());
+  }
+
+  private List<PlannedGroup> servingGroups(PlanDraft draft) {
+    return draft.groups(pool.name()).stream()
+        .filter(group -> group.state() == State.SERVING)
+        .toList();
+  }
+
+  private int servingPlanned(PlanDraft draft) {
+    return servingGroups(draft).size();
+  }
+
+  private int waitingToReturn(PlanDraft draft) {
+    return (int)
+        draft.groups(pool.name()).stream()
+            .filter(group -> group.state() == State.DRAINING && fitsPool(group))
+            .filter(group -> !hasMember(group, HostCondition.RETIRING))
+            .count();
+  }
+
+  private boolean noneDraining(PlanDraft draft) {
+    return servingPlanned(draft) == draft.groups(pool.name()).size();
+  }
+
+  private boolean tryMove() {
+    return pace.tryMove(policy.movePauseMs(), nowMs);
+  }
+
+  private List<HostId> lostMembers(PlannedGroup group) {
+    return members(group, HostCondition.LOST);
+  }
+
+  private List<HostId> usableMembers(PlannedGroup group) {
+    return members(group, HostCondition.USABLE);
+  }
+
+  private List<HostId> members(PlannedGroup group, HostCondition condition) {
+    return group.members().stream().filter(member -> hosts.condition(member) == condition).toList();
+  }
+
+  private boolean hasMember(PlannedGroup group, HostCondition condition) {
+    return !members(group, condition).isEmpty();
+  }
+
+  private boolean fitsPool(PlannedGroup group) {
+    Set<HostId> candidates = new HashSet<>(pool.hosts());
+    return group.members().size() == pool.groupSize()
+        && group.model().equals(pool.model())
+        && candidates.containsAll(group.members());
+  }
+
+  private boolean othersServeTheirQuota() {
+    for (Plan other : input.others()) {
+      if (servingIn(other) < quotas.of(other.domain())) {
+        return false;
+      }
+    }
+    Set<FabricDomain> planned = new HashSet<>();
+    input.others().forEach(plan -> planned.add(plan.domain()));
+    planned.add(input.plan().domain());
+    return quotas.domains().stream()
+        .allMatch(domain -> quotas.of(domain) == 0 || planned.contains(domain));
+  }
+
+  private long servingIn(Plan plan) {
+    return plan.groups().stream()
+        .filter(group -> group.pool().equals(pool.name()))
+        .filter(group -> input.serving().contains(group.id()))
+        .count();
+  }
+}
