--- a/limpet-standin/src/main/java/org/limpetring/standin/LimpetStandin.java
+++ b/limpet-standin/src/main/java/org/limpetring/standin/LimpetStandin.java
@@ -1,12 +1,79 @@
 package org.limpetring.standin;
 
-/** Entry point. */
+import ch.qos.logback.classic.Level;
+import io.dropwizard.logging.common.BootstrapLogging;
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.Objects;
+import org.apache.commons.cli.CommandLine;
+import org.apache.commons.cli.DefaultParser;
+import org.apache.commons.cli.Options;
+import org.apache.commons.cli.ParseException;
+import org.apache.commons.cli.help.HelpFormatter;
+import org.jboss.logging.Logger;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.base.LogEvent;
+import org.limpetring.standin.http.Json;
+
+/** Entry point: runs the stand-ins that the settings file names until it is stopped. */
 public final class LimpetStandin {
 
+  private static final Logger LOGGER = Logger.getLogger(LimpetStandin.class);
+  private static final int EXIT_USAGE = 2;
+  private static final int EXIT_FAILED = 1;
+
   private LimpetStandin() {}
 
   /** Runs the program. */
-  public static void main(String[] arguments) {
-    System.exit(0);
+  public static void main(String[] arguments) throws IOException {
+    BootstrapLogging.bootstrap(Level.INFO);
+    Options options = options();
+    try {
+      CommandLine line = new DefaultParser().parse(options, arguments);
+      if (line.hasOption("help")) {
+        help(options);
+      } else if (line.hasOption("version")) {
+        System.out.println("limpet-standin " + version());
+      } else {
+        run(line.getOptionValue("settings"));
+      }
+    } catch (ParseException mistake) {
+      System.err.println(mistake.getMessage());
+      System.exit(EXIT_USAGE);
+    }
+  }
+
+  private static void run(@Nullable String file) throws ParseException {
+    if (file == null) {
+      throw new ParseException("--settings FILE is missing");
+    }
+    try {
+      StandinSettings settings = Json.readFile(Path.of(file), StandinSettings.class);
+      Standin standin = Standin.start(settings);
+      Runtime.getRuntime().addShutdownHook(new Thread(standin::close, "stop"));
+      LogEvent.PROCESS_STARTED.log(LOGGER, "limpet-standin", settings.control());
+    } catch (IOException failure) {
+      LogEvent.SETTINGS_REJECTED.log(LOGGER, failure.toString());
+      System.exit(EXIT_FAILED);
+    }
+  }
+
+  private static Options options() {
+    Options options = new Options();
+    options.addOption("s", "settings", true, "settings file, JSON with comments");
+    options.addOption("h", "help", false, "print this help");
+    options.addOption("v", "version", false, "print the version");
+    return options;
+  }
+
+  private static void help(Options options) throws IOException {
+    HelpFormatter.builder()
+        .get()
+        .printHelp("limpet-standin --settings FILE", "", options, "", false);
+  }
+
+  private static String version() {
+    return Objects.requireNonNullElse(
+        LimpetStandin.class.getPackage().getImplementationVersion(), "development");
   }
 }
--- /dev/null
+++ b/limpet-standin/src/main/java/org/limpetring/standin/engine/EngineFleet.java
@@ -0,0 +1,35 @@
+package org.limpetring.standin.engine;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.limpetring.base.Clock;
+import org.limpetring.standin.StandinSettings;
+import org.limpetring.standin.host.Fault;
+import org.limpetring.standin.host.RunLog;
+import org.limpetring.standin.host.SimulatedHost;
+
+/** All engines of one process, which find their fellow members here. */
+public final class EngineFleet {
+
+  private final Map<String, Engine> engines = new HashMap<>();
+  private final WeightLoader loader;
+  private final RunLog log;
+
+  /** Makes a fleet without an engine. */
+  public EngineFleet(WeightLoader loader, RunLog log) {
+    this.loader = loader;
+    this.log = log;
+  }
+
+  /** Adds the engine on {@code host}; to be called before any endpoint is started. */
+  public EngineService add(StandinSettings.Engine settings, SimulatedHost host) {
+    Engine engine = new Engine(settings, host, engines, loader, Clock.system());
+    engines.put(settings.host(), engine);
+    return new EngineService(engine, new ChatExecution(engine, log, () -> crash(host)));
+  }
+
+  private static void crash(SimulatedHost host) {
+    host.apply(new Fault(host.name(), Fault.Kind.KILL, 1, 0, 0));
+    host.apply(new Fault(host.name(), Fault.Kind.HEAL, 1, 0, 0));
+  }
+}
--- /dev/null
+++ b/limpet-standin/src/main/java/org/limpetring/standin/engine/Order.java
@@ -0,0 +1,33 @@
+package org.limpetring.standin.engine;
+
+import java.util.List;
+import java.util.Objects;
+import org.jspecify.annotations.Nullable;
+
+/** Order as it arrives at an engine. */
+public record Order(
+    Kind kind,
+    String group,
+    long epoch,
+    @Nullable String host,
+    @Nullable String model,
+    int rank,
+    @Nullable List<String> members) {
+
+  /** Rejects an order without a kind or a group. */
+  public Order {
+    Objects.requireNonNull(kind, "kind");
+    Objects.requireNonNull(group, "group");
+    members = members == null ? List.of() : List.copyOf(members);
+  }
+
+  /** What the engine shall do. */
+  public enum Kind {
+    /** Load the model and serve as a member of the group. */
+    JOIN,
+    /** Take no new request and finish those in progress. */
+    DRAIN,
+    /** Belong to no group. */
+    RELEASE
+  }
+}
