Thin whole path: limpetd, limpetctl and the demo

Cause: everything else is measured on a request that goes end to end. Change: caller servlet, request driver, operators' pages, settings, Guice wiring, graceful stop; limpetctl with validate, apply, get, diff, out, in, status, explain; bin/demo with three daemons and stand-ins. Each daemon still joins the tables by itself and holds every role (PollingFleet), admits without limits (ChoosingAdmission) and writes each claim by itself (DirectClaims).

--- /dev/null
+++ b/limpetctl/src/main/java/org/limpetring/ctl/MarkCommands.java
@@ -0,0 +1,52 @@
+package org.limpetring.ctl;
+
+import org.limpetring.base.ResultCode;
+import org.limpetring.platform.ObjectStore;
+import org.limpetring.platform.ReadResult;
+import org.limpetring.platform.WriteResult;
+import org.limpetring.tables.ConfigKeys;
+
+/** Takes failure domains and hosts out of service and puts them back; repeating does no harm. */
+final class MarkCommands {
+
+  private final ObjectStore store;
+
+  MarkCommands(ObjectStore store) {
+    this.store = store;
+  }
+
+  Report takeOut(String key) {
+    ReadResult read = store.get(key);
+    if (read instanceof ReadResult.Unavailable unavailable) {
+      return Report.error(ResultCode.PLATFORM_UNAVAILABLE, unavailable.reason());
+    }
+    if (read instanceof ReadResult.Found) {
+      return Report.done(key + " is out of service already", null);
+    }
+    return report(store.put(key, ConfigKeys.OUT_VALUE, 0), key, "out of service");
+  }
+
+  Report putBack(String key) {
+    ReadResult read = store.get(key);
+    if (read instanceof ReadResult.Unavailable unavailable) {
+      return Report.error(ResultCode.PLATFORM_UNAVAILABLE, unavailable.reason());
+    }
+    if (!(read instanceof ReadResult.Found found)) {
+      return Report.done(key + " is in service already", null);
+    }
+    return report(store.delete(key, found.object().version()), key, "back in service");
+  }
+
+  private Report report(WriteResult result, String key, String state) {
+    if (result instanceof WriteResult.Written) {
+      return Report.done(key + " is " + state, null);
+    }
+    if (result instanceof WriteResult.Conflict) {
+      return Report.error(ResultCode.TABLE_CONFLICT, key + " was changed by another operator");
+    }
+    if (result instanceof WriteResult.Unavailable unavailable) {
+      return Report.error(ResultCode.PLATFORM_UNAVAILABLE, unavailable.reason());
+    }
+    return Report.error(ResultCode.PLATFORM_UNKNOWN, "run the command again to make sure");
+  }
+}
--- /dev/null
+++ b/limpetctl/src/main/java/org/limpetring/ctl/Session.java
@@ -0,0 +1,48 @@
+package org.limpetring.ctl;
+
+import java.util.Map;
+import java.util.Objects;
+import org.apache.commons.cli.CommandLine;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.platform.ObjectStore;
+import org.limpetring.platform.http.HttpObjectStore;
+import org.limpetring.platform.http.HttpPlatformClient;
+import org.limpetring.platform.http.PlatformSettings;
+
+/** Options of one invocation and the connections that they name. */
+final class Session {
+
+  private static final String DEFAULT_PLATFORM = "http://127.0.0.1:7100";
+  private static final String DEFAULT_DAEMON = "http://127.0.0.1:7301";
+
+  private final CommandLine line;
+  private final Map<String, String> environment = System.getenv();
+
+  Session(CommandLine line) {
+    this.line = line;
+  }
+
+  /** Value of an option, or null. */
+  @Nullable String option(String name) {
+    return line.getOptionValue(name);
+  }
+
+  /** The platform's object store. */
+  ObjectStore store() {
+    String url = address("platform", "LIMPET_PLATFORM", DEFAULT_PLATFORM);
+    return new HttpObjectStore(new HttpPlatformClient(PlatformSettings.withDefaults(url)));
+  }
+
+  /** A daemon's admin port. */
+  DaemonClient daemon() {
+    return new DaemonClient(address("daemon", "LIMPET_DAEMON", DEFAULT_DAEMON));
+  }
+
+  private String address(String option, String variable, String fallback) {
+    String given = line.getOptionValue(option);
+    if (given != null) {
+      return given;
+    }
+    return Objects.requireNonNullElse(environment.get(variable), fallback);
+  }
+}
--- /dev/null
+++ b/limpetctl/src/main/java/org/limpetring/ctl/TableCommands.java
@@ -0,0 +1,182 @@
+package org.limpetring.ctl;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.base.ResultCode;
+import org.limpetring.platform.ObjectStore;
+import org.limpetring.platform.ReadResult;
+import org.limpetring.platform.StoredObject;
+import org.limpetring.platform.WriteResult;
+import org.limpetring.tables.Checked;
+import org.limpetring.tables.ConfigKeys;
+import org.limpetring.tables.PoolTable;
+import org.limpetring.tables.RouteTable;
+import org.limpetring.tables.TableChecks;
+import org.limpetring.tables.TableMistake;
+import org.limpetring.tables.TableReader;
+
+/** Reads, checks, compares and writes the two tables. */
+final class TableCommands {
+
+  private final ObjectStore store;
+
+  TableCommands(ObjectStore store) {
+    this.store = store;
+  }
+
+  static Report validate(String routesFile, String poolsFile) {
+    try {
+      Checked<TableChecks.JoinedTables> joined =
+          TableChecks.join(read(routesFile), read(poolsFile));
+      return joined instanceof Checked.Invalid<TableChecks.JoinedTables> invalid
+          ? mistakes(invalid.mistakes())
+          : Report.done("both tables are valid", null);
+    } catch (IOException missing) {
+      return Report.error(ResultCode.NOT_FOUND, String.valueOf(missing.getMessage()));
+    }
+  }
+
+  /** Writes a table unless it, or it together with the other one, has mistakes. */
+  Report apply(String table, String file, @Nullable String ifVersion) {
+    String key = keyOf(table);
+    if (key == null) {
+      return wrongTable(table);
+    }
+    String text;
+    try {
+      text = read(file);
+    } catch (IOException missing) {
+      return Report.error(ResultCode.NOT_FOUND, String.valueOf(missing.getMessage()));
+    }
+    List<TableMistake> found = check(table, text);
+    if (!found.isEmpty()) {
+      return mistakes(found);
+    }
+    ReadResult read = store.get(key);
+    if (read instanceof ReadResult.Unavailable unavailable) {
+      return Report.error(ResultCode.PLATFORM_UNAVAILABLE, unavailable.reason());
+    }
+    StoredObject current = read instanceof ReadResult.Found stored ? stored.object() : null;
+    long version = current == null ? 0 : current.version();
+    if (ifVersion != null && !ifVersion.equals(Long.toString(version))) {
+      return conflict(table, text, current);
+    }
+    return written(table, text, store.put(key, text, version));
+  }
+
+  Report get(String table) {
+    String key = keyOf(table);
+    if (key == null) {
+      return wrongTable(table);
+    }
+    ReadResult read = store.get(key);
+    if (read instanceof ReadResult.Found found) {
+      return new Report(
+          ResultCode.OK,
+          List.of("// version " + found.object().version(), found.object().value()),
+          found.object());
+    }
+    return missing(table, read);
+  }
+
+  Report diff(String table, String file) {
+    String key = keyOf(table);
+    if (key == null) {
+      return wrongTable(table);
+    }
+    try {
+      String text = read(file);
+      ReadResult read = store.get(key);
+      if (read instanceof ReadResult.Found found) {
+        return new Report(ResultCode.OK, LineDiff.of(found.object().value(), text), null);
+      }
+      return missing(table, read);
+    } catch (IOException unreadable) {
+      return Report.error(ResultCode.NOT_FOUND, String.valueOf(unreadable.getMessage()));
+    }
+  }
+
+  private List<TableMistake> check(String table, String text) {
+    boolean isRoutes = table.equals(TableReader.ROUTES);
+    String other =
+        store.get(isRoutes ? ConfigKeys.POOLS : ConfigKeys.ROUTES) instanceof ReadResult.Found found
+            ? found.object().value()
+            : null;
+    if (other != null) {
+      Checked<TableChecks.JoinedTables> joined =
+          isRoutes ? TableChecks.join(text, other) : TableChecks.join(other, text);
+      return joined instanceof Checked.Invalid<TableChecks.JoinedTables> invalid
+          ? invalid.mistakes()
+          : List.of();
+    }
+    if (isRoutes) {
+      return TableReader.readRoutes(text) instanceof Checked.Invalid<RouteTable> invalid
+          ? invalid.mistakes()
+          : List.of();
+    }
+    return TableReader.readPools(text) instanceof Checked.Invalid<PoolTable> invalid
+        ? invalid.mistakes()
+        : List.of();
+  }
+
+  private Report written(String table, String text, WriteResult result) {
+    if (result instanceof WriteResult.Written written) {
+      return Report.done(
+          "table " + table + " written as version " + written.version(), written.version());
+    }
+    if (result instanceof WriteResult.Unavailable unavailable) {
+      return Report.error(ResultCode.PLATFORM_UNAVAILABLE, unavailable.reason());
+    }
+    ReadResult read = store.get(String.valueOf(keyOf(table)));
+    if (!(read instanceof ReadResult.Found found)) {
+      return Report.error(ResultCode.PLATFORM_UNKNOWN, "run get to see the table in force");
+    }
+    if (found.object().value().equals(text)) {
+      return Report.done(
+          "table " + table + " written as version " + found.object().version(),
+          found.object().version());
+    }
+    return conflict(table, text, found.object());
+  }
+
+  private static Report conflict(String table, String text, @Nullable StoredObject current) {
+    List<String> lines = new ArrayList<>();
+    lines.add(
+        "table " + table + " has version " + (current == null ? 0 : current.version()) + " now");
+    if (current != null) {
+      lines.addAll(LineDiff.of(current.value(), text));
+    }
+    return new Report(ResultCode.TABLE_CONFLICT, lines, null);
+  }
+
+  private static Report mistakes(List<TableMistake> found) {
+    return new Report(
+        ResultCode.TABLE_INVALID, found.stream().map(TableMistake::toString).toList(), found);
+  }
+
+  private static Report missing(String table, ReadResult read) {
+    return read instanceof ReadResult.Unavailable unavailable
+        ? Report.error(ResultCode.PLATFORM_UNAVAILABLE, unavailable.reason())
+        : Report.error(ResultCode.NOT_FOUND, "table " + table + " was never written");
+  }
+
+  private static Report wrongTable(String table) {
+    return Report.error(ResultCode.USAGE, "no table '" + table + "': routes or pools");
+  }
+
+  private static @Nullable String keyOf(String table) {
+    return switch (table) {
+      case TableReader.ROUTES -> ConfigKeys.ROUTES;
+      case TableReader.POOLS -> ConfigKeys.POOLS;
+      default -> null;
+    };
+  }
+
+  private static String read(String file) throws IOException {
+    return Files.readString(Path.of(file));
+  }
+}
--- /dev/null
+++ b/limpetd/src/main/java/org/limpetring/daemon/caller/CallerAnswer.java
@@ -0,0 +1,165 @@
+package org.limpetring.daemon.caller;
+
+import jakarta.servlet.http.HttpServletResponse;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import org.limpetring.base.RequestId;
+import org.limpetring.base.ResultCode;
+import org.limpetring.base.RunState;
+import org.limpetring.engine.AnswerSink;
+import org.limpetring.groups.ServingGroup;
+
+/**
+ * Answer to one caller, put together from one or more tries.
+ *
+ * <p>A stream is passed on event by event. A plain body is held back until it is whole, up to a
+ * limit. An answer that fails after its first byte ends in a way that cannot be taken for a whole
+ * one: a stream with an error event and without end marker, a body by a broken connection.
+ */
+public final class CallerAnswer {
+
+  /** Header with the group that served. */
+  static final String GROUP_HEADER = "X-Limpet-Group";
+
+  /** Header with the host that took the request. */
+  static final String UPSTREAM_HEADER = "X-Limpet-Upstream";
+
+  /** Header with the request id. */
+  static final String REQUEST_HEADER = "X-Limpet-Request";
+
+  private static final int RETRY_AFTER_S = 1;
+  private static final int HELD_BYTES = 1_048_576;
+  private static final byte[] END_EVENT = "data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8);
+
+  private final HttpServletResponse response;
+  private final RequestId request;
+  private final boolean streamed;
+  private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+  private int deliveredEvents;
+  private boolean started;
+  private boolean whole;
+
+  CallerAnswer(HttpServletResponse response, RequestId request, boolean streamed) {
+    this.response = response;
+    this.request = request;
+    this.streamed = streamed;
+    response.setHeader(REQUEST_HEADER, request.value());
+  }
+
+  /** Events of the stream that the caller has, not counting the end marker. */
+  int deliveredEvents() {
+    return deliveredEvents;
+  }
+
+  /** Whether a byte has gone to the caller. */
+  boolean hasStarted() {
+    return started;
+  }
+
+  /** Takes the answer of one try by {@code group}. */
+  AnswerSink sink(ServingGroup group) {
+    return new AnswerSink() {
+      @Override
+      public void begin(int status, String contentType) {
+        beginTry(group, status, contentType);
+      }
+
+      @Override
+      public void part(byte[] bytes) throws CallerGoneException {
+        addPart(bytes);
+      }
+    };
+  }
+
+  /** Sends what is held back; called once, after a try that ended whole. */
+  void finish() throws IOException {
+    whole = true;
+    started = true;
+    if (!streamed && held.size() > 0) {
+      response.getOutputStream().write(held.toByteArray());
+    }
+    response.flushBuffer();
+  }
+
+  /** Body that a repeat of the request may be answered with; empty for streams and long bodies. */
+  byte[] heldBody() {
+    return streamed ? new byte[0] : held.toByteArray();
+  }
+
+  /** Ends the answer with an error. */
+  void fail(ResultCode code, RunState runState, String detail) throws IOException {
+    if (whole) {
+      return;
+    }
+    String body = ErrorBody.of(code, runState, detail, request).json();
+    if (!started) {
+      writeError(code, body);
+      return;
+    }
+    if (streamed) {
+      response.getOutputStream().print("event: error\ndata: " + body + "\n\n");
+      response.flushBuffer();
+      return;
+    }
+    throw new IOException("answer broken off after its first byte");
+  }
+
+  private void beginTry(ServingGroup group, int status, String contentType) {
+    if (started) {
+      return;
+    }
+    held.reset();
+    response.setStatus(status);
+    response.setContentType(contentType);
+    response.setHeader(GROUP_HEADER, group.id().value());
+    response.setHeader(UPSTREAM_HEADER, group.members().get(0).value());
+  }
+
+  private void addPart(byte[] bytes) throws AnswerSink.CallerGoneException {
+    try {
+      if (streamed) {
+        writeEvent(bytes);
+      } else {
+        holdOrWrite(bytes);
+      }
+    } catch (IOException gone) {
+      throw new AnswerSink.CallerGoneException(gone);
+    }
+  }
+
+  private void writeEvent(byte[] bytes) throws IOException {
+    started = true;
+    response.getOutputStream().write(bytes);
+    response.flushBuffer();
+    if (!Arrays.equals(bytes, END_EVENT)) {
+      deliveredEvents++;
+    }
+  }
+
+  private void holdOrWrite(byte[] bytes) throws IOException {
+    if (!started && held.size() + bytes.length <= HELD_BYTES) {
+      held.write(bytes);
+      return;
+    }
+    started = true;
+    response.getOutputStream().write(held.toByteArray());
+    response.getOutputStream().write(bytes);
+    held.reset();
+  }
+
+  private void writeError(ResultCode code, String body) throws IOException {
+    response.reset();
+    response.setHeader(REQUEST_HEADER, request.value());
+    response.setStatus(code.httpStatus());
+    response.setContentType("application/json");
+    if (code.retry() == ResultCode.Retry.LATER) {
+      response.setIntHeader("Retry-After", RETRY_AFTER_S);
+    }
+    response.getOutputStream().write(body.getBytes(StandardCharsets.UTF_8));
+    response.flushBuffer();
+    started = true;
+    whole = true;
+  }
+}
--- /dev/null
+++ b/limpetd/src/main/java/org/limpetring/daemon/settings/SettingsConfigurationFactory.java
@@ -0,0 +1,45 @@
+package org.limpetring.daemon.settings;
+
+import io.dropwizard.configuration.ConfigurationException;
+import io.dropwizard.configuration.ConfigurationFactory;
+import io.dropwizard.configuration.ConfigurationSourceProvider;
+import java.io.IOException;
+import java.io.InputStream;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import org.limpetring.tables.Checked;
+import org.limpetring.tables.TableMistake;
+
+/** Makes Dropwizard's configuration from a settings file, or fails with all of its mistakes. */
+public final class SettingsConfigurationFactory
+    implements ConfigurationFactory<DaemonConfiguration> {
+
+  @Override
+  public DaemonConfiguration build(ConfigurationSourceProvider provider, String path)
+      throws IOException, ConfigurationException {
+    Checked<DaemonSettings> settings;
+    try (InputStream input = provider.open(path)) {
+      settings = SettingsReader.read(new String(input.readAllBytes(), StandardCharsets.UTF_8));
+    }
+    if (settings instanceof Checked.Invalid<DaemonSettings> invalid) {
+      throw new InvalidSettingsException(path, invalid.mistakes());
+    }
+    return new DaemonConfiguration(((Checked.Valid<DaemonSettings>) settings).value());
+  }
+
+  @Override
+  public DaemonConfiguration build() throws ConfigurationException {
+    throw new InvalidSettingsException(
+        "", List.of(new TableMistake("settings", 0, "", "no settings file was named")));
+  }
+
+  /** Carries the mistakes of a settings file. */
+  static final class InvalidSettingsException extends ConfigurationException {
+
+    private static final long serialVersionUID = 1L;
+
+    InvalidSettingsException(String path, List<TableMistake> mistakes) {
+      super(path, mistakes.stream().map(TableMistake::toString).toList());
+    }
+  }
+}
--- /dev/null
+++ b/limpetd/src/main/java/org/limpetring/daemon/settings/package-info.java
@@ -0,0 +1,5 @@
+/** Settings of the daemon, read from JSON with comments and checked at start. */
+@NullMarked
+package org.limpetring.daemon.settings;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/DaemonModule.java
@@ -0,0 +1,72 @@
+package org.limpetring.daemon.wiring;
+
+import com.google.inject.AbstractModule;
+import com.google.inject.Provides;
+import com.google.inject.Singleton;
+import java.util.UUID;
+import org.limpetring.base.Clock;
+import org.limpetring.base.DaemonId;
+import org.limpetring.daemon.caller.Admission;
+import org.limpetring.daemon.caller.ChoosingAdmission;
+import org.limpetring.daemon.caller.Claims;
+import org.limpetring.daemon.caller.DaemonState;
+import org.limpetring.daemon.caller.DirectClaims;
+import org.limpetring.daemon.caller.InProgress;
+import org.limpetring.daemon.settings.DaemonSettings;
+import org.limpetring.engine.EnginePort;
+import org.limpetring.engine.http.EngineSettings;
+import org.limpetring.engine.http.HttpEnginePort;
+import org.limpetring.routing.request.RetryPermit;
+
+/** The daemon: platform, fleet, groups and request path. */
+public final class DaemonModule extends AbstractModule {
+
+  private static final int RUN_NAME_LENGTH = 8;
+
+  private final DaemonSettings settings;
+
+  /** Wires a daemon with {@code settings}. */
+  public DaemonModule(DaemonSettings settings) {
+    this.settings = settings;
+  }
+
+  @Override
+  protected void configure() {
+    install(new PlatformModule());
+    install(new GroupsModule());
+    bind(DaemonSettings.class).toInstance(settings);
+    bind(InProgress.class).toInstance(new InProgress());
+    bind(PollingFleet.class).in(Singleton.class);
+    bind(FleetPort.class).to(PollingFleet.class);
+    bind(HostPoller.class).in(Singleton.class);
+    bind(LiveState.class).in(Singleton.class);
+    bind(DaemonState.class).to(LiveState.class);
+    bind(Claims.class).to(DirectClaims.class).in(Singleton.class);
+    bind(Admission.class).to(ChoosingAdmission.class).in(Singleton.class);
+  }
+
+  @Provides
+  @Singleton
+  Clock clock() {
+    return Clock.system();
+  }
+
+  @Provides
+  @Singleton
+  DaemonId daemonId() {
+    String run = UUID.randomUUID().toString().substring(0, RUN_NAME_LENGTH);
+    return new DaemonId(settings.name() + "-" + run);
+  }
+
+  @Provides
+  @Singleton
+  EnginePort engine() {
+    return new HttpEnginePort(EngineSettings.DEFAULT);
+  }
+
+  @Provides
+  @Singleton
+  RetryPermit retryPermit() {
+    return nowMs -> true;
+  }
+}
