--- /dev/null
+++ b/limpet-platform/src/main/java/org/limpetring/platform/client/BudgetedObjectStore.java
@@ -0,0 +1,90 @@
+package org.limpetring.platform.client;
+
+import org.jboss.logging.Logger;
+import org.limpetring.base.Clock;
+import org.limpetring.base.LogEvent;
+import org.limpetring.base.Metrics;
+import org.limpetring.platform.ListResult;
+import org.limpetring.platform.ObjectStore;
+import org.limpetring.platform.ReadResult;
+import org.limpetring.platform.WatchResult;
+import org.limpetring.platform.WriteResult;
+
+/**
+ * Object store whose calls share one budget. A call waits for its turn; one that would wait too
+ * long is refused before any effect and counted with the result {@code over_budget}.
+ */
+public final class BudgetedObjectStore implements ObjectStore {
+
+  private static final Logger LOGGER = Logger.getLogger(BudgetedObjectStore.class);
+  private static final String REASON = "call budget spent";
+
+  private final ObjectStore store;
+  private final CallBudget budget;
+  private final Clock clock;
+  private final Pause pause;
+  private final long maxWaitMs;
+
+  /** Puts {@code budget} before {@code store}; a call waits {@code maxWaitMs} at most. */
+  public BudgetedObjectStore(
+      ObjectStore store, CallBudget budget, Clock clock, Pause pause, long maxWaitMs) {
+    this.store = store;
+    this.budget = budget;
+    this.clock = clock;
+    this.pause = pause;
+    this.maxWaitMs = maxWaitMs;
+  }
+
+  @Override
+  public ReadResult get(String key) {
+    return mayStart("get") ? store.get(key) : new ReadResult.Unavailable(REASON);
+  }
+
+  @Override
+  public ListResult list(String prefix) {
+    return mayStart("list") ? store.list(prefix) : new ListResult.Unavailable(REASON);
+  }
+
+  @Override
+  public WriteResult put(String key, String value, long expectedVersion) {
+    return mayStart("put")
+        ? store.put(key, value, expectedVersion)
+        : new WriteResult.Unavailable(REASON);
+  }
+
+  @Override
+  public WriteResult delete(String key, long expectedVersion) {
+    return mayStart("delete")
+        ? store.delete(key, expectedVersion)
+        : new WriteResult.Unavailable(REASON);
+  }
+
+  @Override
+  public WatchResult watch(String prefix, long afterRevision, long waitMs) {
+    return mayStart("watch")
+        ? store.watch(prefix, afterRevision, waitMs)
+        : new WatchResult.Unavailable(REASON);
+  }
+
+  private boolean mayStart(String kind) {
+    long waitMs;
+    synchronized (budget) {
+      waitMs = budget.reserve(clock.nowMs(), maxWaitMs);
+    }
+    if (waitMs == 0) {
+      return true;
+    }
+    LogEvent.PLATFORM_BUDGET_SPENT.log(LOGGER, kind);
+    if (waitMs == CallBudget.REFUSED) {
+      Metrics.PLATFORM_CALLS.labelValues(kind, "over_budget").inc();
+      return false;
+    }
+    try {
+      pause.pauseMs(waitMs);
+      return true;
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/limpet-platform/src/main/java/org/limpetring/platform/client/ObjectListener.java
@@ -0,0 +1,18 @@
+package org.limpetring.platform.client;
+
+import java.util.List;
+import org.limpetring.platform.StoredObject;
+import org.limpetring.platform.WatchResult;
+
+/** Receives what an {@link ObjectWatcher} learns, on the watcher's thread. */
+public interface ObjectListener {
+
+  /** All objects under the prefix; those that are not listed do not exist. */
+  void onSnapshot(List<StoredObject> objects, long revision);
+
+  /** One object was written or deleted. */
+  void onChange(WatchResult.Change change);
+
+  /** All that the platform held at {@code atMs} on the watcher's clock has been passed on. */
+  void onConfirmed(long atMs);
+}
--- /dev/null
+++ b/limpet-platform/src/main/java/org/limpetring/platform/client/UpdateResult.java
@@ -0,0 +1,17 @@
+package org.limpetring.platform.client;
+
+/** Result of an update by {@link ConditionalWriter}. */
+public sealed interface UpdateResult {
+
+  /** The change took effect exactly once, as {@code version} with {@code value}. */
+  record Written(long version, String value) implements UpdateResult {}
+
+  /** The change left the object as it was at {@code version}; 0 if it does not exist. */
+  record Unchanged(long version) implements UpdateResult {}
+
+  /** The change did not take effect and never will. */
+  record NotWritten(String reason) implements UpdateResult {}
+
+  /** The change took effect at most once; it may still do so later. */
+  record Unknown(String reason) implements UpdateResult {}
+}
