--- /dev/null
+++ b/limpet-platform/src/test/java/org/limpetring/platform/client/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the discipline of platform calls. */
+@NullMarked
+package org.limpetring.platform.client;
+
+import org.jspecify.annotations.NullMarked;
