--- a/limpet-peer/src/main/java/org/limpetring/peer/relay/PlatformRelay.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/relay/PlatformRelay.java
@@ -2,6 +2,7 @@
 
 import org.limpetring.peer.proto.PlatformRelayRequest;
 import org.limpetring.peer.proto.PlatformRelayResponse;
+import org.limpetring.peer.proto.PlatformRelayResponse.Result;
 import org.limpetring.platform.ObjectStore;
 
 /**
@@ -24,6 +25,12 @@
     if (path.isBroken()) {
       return RelayCodec.unavailable("carrying peer has no way to the platform");
     }
+    PlatformRelayResponse response = call(request);
+    path.onCall(response.getResult() != Result.UNAVAILABLE);
+    return response;
+  }
+
+  private PlatformRelayResponse call(PlatformRelayRequest request) {
     return switch (request.getKind()) {
       case GET -> RelayCodec.encode(direct.get(request.getKey()));
       case LIST -> RelayCodec.encode(direct.list(request.getKey()));
