--- /dev/null
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/config/SourceJoiner.java
@@ -0,0 +1,75 @@
+package org.limpetring.fleet.config;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.limpetring.base.FailureDomain;
+import org.limpetring.base.HostId;
+import org.limpetring.base.Names;
+import org.limpetring.platform.StoredObject;
+import org.limpetring.tables.AcceptedConfig;
+import org.limpetring.tables.Checked;
+import org.limpetring.tables.ServiceMarks;
+import org.limpetring.tables.TableMistake;
+
+/**
+ * Joins tables and service marks into the configuration that should be accepted next.
+ *
+ * <p>Tables with a mistake are left out as a pair; marks are taken all the same, so that a mistake
+ * in a table does not hold up taking a failure domain out of service.
+ */
+final class SourceJoiner {
+
+  private final ConfigFormat format;
+
+  SourceJoiner(ConfigFormat format) {
+    this.format = format;
+  }
+
+  /** Result of a join: what to accept, and why tables were left out, if they were. */
+  record Joined(AcceptedConfig config, List<TableMistake> mistakes) {}
+
+  /** Joins {@code sources}; tables with mistakes are replaced by those of {@code last}. */
+  Joined join(List<StoredObject> sources, long revision, AcceptedConfig last) {
+    Checked<JoinedTables> checked =
+        format.join(value(sources, ConfigKeys.ROUTES), value(sources, ConfigKeys.POOLS));
+    ServiceMarks marks = marks(sources);
+    if (checked instanceof Checked.Invalid<JoinedTables> invalid) {
+      AcceptedConfig kept =
+          new AcceptedConfig(last.generation(), revision, last.routes(), last.pools(), marks);
+      return new Joined(kept, invalid.mistakes());
+    }
+    JoinedTables tables = ((Checked.Valid<JoinedTables>) checked).value();
+    AcceptedConfig config =
+        new AcceptedConfig(last.generation(), revision, tables.routes(), tables.pools(), marks);
+    return new Joined(config, List.of());
+  }
+
+  private static String value(List<StoredObject> sources, String key) {
+    for (StoredObject source : sources) {
+      if (source.key().equals(key)) {
+        return source.value();
+      }
+    }
+    return "";
+  }
+
+  private static ServiceMarks marks(List<StoredObject> sources) {
+    Set<FailureDomain> domains = new HashSet<>();
+    Set<HostId> hosts = new HashSet<>();
+    for (StoredObject source : sources) {
+      String key = source.key();
+      if (isMark(key, ConfigKeys.OUT_DOMAIN_PREFIX)) {
+        domains.add(new FailureDomain(key.substring(ConfigKeys.OUT_DOMAIN_PREFIX.length())));
+      }
+      if (isMark(key, ConfigKeys.OUT_HOST_PREFIX)) {
+        hosts.add(new HostId(key.substring(ConfigKeys.OUT_HOST_PREFIX.length())));
+      }
+    }
+    return new ServiceMarks(domains, hosts);
+  }
+
+  private static boolean isMark(String key, String prefix) {
+    return key.startsWith(prefix) && Names.isValid(key.substring(prefix.length()));
+  }
+}
--- /dev/null
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/spread/TopicState.java
@@ -0,0 +1,40 @@
+package org.limpetring.fleet.spread;
+
+/**
+ * One version of one topic's value.
+ *
+ * <p>The byte array is shared, not copied; holders must not change it.
+ */
+public final class TopicState {
+
+  private final String topic;
+  private final long version;
+  private final byte[] value;
+
+  /** Value of {@code topic} at {@code version}; versions grow from 1 and name one value each. */
+  public TopicState(String topic, long version, byte[] value) {
+    this.topic = topic;
+    this.version = version;
+    this.value = value;
+  }
+
+  /** Name of the topic. */
+  public String topic() {
+    return topic;
+  }
+
+  /** Version of the value. */
+  public long version() {
+    return version;
+  }
+
+  /** The value; not to be changed. */
+  public byte[] value() {
+    return value;
+  }
+
+  @Override
+  public String toString() {
+    return topic + "@" + version;
+  }
+}
--- /dev/null
+++ b/limpet-fleet/src/test/java/org/limpetring/fleet/config/ConfigWorld.java
@@ -0,0 +1,302 @@
+package org.limpetring.fleet.config;
+
+import static com.google.common.truth.Truth.assertThat;
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.base.DaemonId;
+import org.limpetring.base.FailureDomain;
+import org.limpetring.fleet.spread.SpreadEffect;
+import org.limpetring.fleet.spread.SpreadMachine;
+import org.limpetring.fleet.spread.TopicState;
+import org.limpetring.platform.ListResult;
+import org.limpetring.platform.ReadResult;
+import org.limpetring.platform.StoredObject;
+import org.limpetring.platform.memory.FaultyObjectStore;
+import org.limpetring.platform.memory.MemoryObjectStore;
+import org.limpetring.tables.AcceptedConfig;
+import org.limpetring.tables.Checked;
+import org.limpetring.tables.RouteTable;
+import org.limpetring.tables.ServiceMarks;
+
+/** Daemons' configuration machines around one store; the oracle is the list of operators' edits. */
+final class ConfigWorld {
+
+  static final int DAEMONS = 4;
+
+  private static final String DOMAIN_KEY = ConfigKeys.OUT_DOMAIN_PREFIX + "east";
+
+  /** What the operators wanted after one edit. */
+  private record Wanted(RouteTable routes, ServiceMarks marks) {}
+
+  private final NumberedFormat format = new NumberedFormat();
+  private final MemoryObjectStore store = new MemoryObjectStore();
+  private final FaultyObjectStore faulty = new FaultyObjectStore(store);
+  private final List<Node> nodes = new ArrayList<>();
+  private final List<Wanted> history = new ArrayList<>();
+  private final TreeMap<Long, Integer> editOfGeneration = new TreeMap<>();
+  private long nowMs;
+  private int edits;
+  private long storedGeneration;
+
+  ConfigWorld() {
+    history.add(new Wanted(RouteTable.EMPTY, ServiceMarks.NONE));
+    for (int index = 0; index < DAEMONS; index++) {
+      nodes.add(new Node(index));
+    }
+  }
+
+  /** One daemon; restarts replace both machines and forget pending work. */
+  private final class Node {
+    private final int index;
+    private final DaemonId id;
+    private final ConfigMachine config = new ConfigMachine(format);
+    private final SpreadMachine spread;
+    private final Deque<Runnable> jobs = new ArrayDeque<>();
+    private final Deque<Runnable> messages = new ArrayDeque<>();
+    private long seenGeneration;
+
+    Node(int index) {
+      this.index = index;
+      this.id = new DaemonId("d" + index);
+      this.spread = new SpreadMachine(id, index);
+      List<DaemonId> all = new ArrayList<>();
+      for (int other = 0; other < DAEMONS; other++) {
+        all.add(new DaemonId("d" + other));
+      }
+      spread.setPeers(all);
+      config.setRank(index == DAEMONS - 1 ? ConfigMachine.NO_ACCEPTOR : index, nowMs);
+    }
+
+    void runConfig(List<ConfigEffect> effects) {
+      for (ConfigEffect effect : effects) {
+        if (effect instanceof ConfigEffect.PutInForce put) {
+          byte[] bytes = put.text().getBytes(StandardCharsets.UTF_8);
+          runSpread(
+              spread.offer(
+                  new TopicState(ConfigKeys.ACCEPTED, put.config().generation(), bytes), null));
+        } else if (effect instanceof ConfigEffect.ReadForJoin) {
+          jobs.add(this::readAccepted);
+        } else if (effect instanceof ConfigEffect.WriteAccepted write) {
+          jobs.add(
+              () ->
+                  runConfig(
+                      config.onWritten(
+                          write,
+                          faulty.put(ConfigKeys.ACCEPTED, write.text(), write.expectedVersion()),
+                          nowMs)));
+        }
+      }
+    }
+
+    private void readAccepted() {
+      ReadResult read = faulty.get(ConfigKeys.ACCEPTED);
+      StoredObject accepted = read instanceof ReadResult.Found found ? found.object() : null;
+      boolean failed = read instanceof ReadResult.Unavailable;
+      jobs.addFirst(() -> readSources(accepted, failed));
+    }
+
+    private void readSources(@Nullable StoredObject accepted, boolean failed) {
+      ListResult tables = faulty.list(ConfigKeys.TABLES_PREFIX);
+      ListResult marks = faulty.list(ConfigKeys.SERVICE_PREFIX);
+      JoinRead read = new JoinRead.Failed("down");
+      if (!failed
+          && tables instanceof ListResult.Listed first
+          && marks instanceof ListResult.Listed second) {
+        List<StoredObject> sources = new ArrayList<>(first.objects());
+        sources.addAll(second.objects());
+        read = new JoinRead.Complete(accepted, sources, first.revision());
+      }
+      runConfig(config.onRead(read, true, nowMs));
+    }
+
+    void runSpread(List<SpreadEffect> effects) {
+      for (SpreadEffect effect : effects) {
+        if (effect instanceof SpreadEffect.Deliver deliver) {
+          String text = new String(deliver.state().value(), StandardCharsets.UTF_8);
+          runConfig(config.onAccepted(text));
+        } else if (effect instanceof SpreadEffect.SendNotice send) {
+          deliver(send.peer(), to -> to.spread.onNotice(id, send.versions(), nowMs));
+        } else if (effect instanceof SpreadEffect.SendAllVersions send) {
+          deliver(send.peer(), to -> to.spread.onAllVersions(id, send.versions(), nowMs));
+        } else if (effect instanceof SpreadEffect.SendDigest send) {
+          deliver(send.peer(), to -> to.spread.onDigest(id, send.digest()));
+        } else if (effect instanceof SpreadEffect.SendPull send) {
+          deliver(send.peer(), to -> to.spread.onPull(id, send.topics()));
+        } else if (effect instanceof SpreadEffect.SendState send) {
+          deliver(send.peer(), to -> to.spread.offer(send.state(), id));
+        }
+      }
+    }
+
+    private void deliver(DaemonId peer, Receiver receiver) {
+      int to = Integer.parseInt(peer.value().substring(1));
+      nodes.get(to).messages.add(() -> nodes.get(to).runSpread(receiver.receive(nodes.get(to))));
+    }
+  }
+
+  private interface Receiver {
+    List<SpreadEffect> receive(Node node);
+  }
+
+  void editRoutes(boolean valid) {
+    edits++;
+    String text = valid ? Integer.toString(edits) : "bad";
+    store.put(ConfigKeys.ROUTES, text, version(ConfigKeys.ROUTES));
+    Wanted last = history.get(history.size() - 1);
+    history.add(valid ? new Wanted(NumberedFormat.table(text), last.marks()) : last);
+    announce();
+  }
+
+  void toggleMark() {
+    Wanted last = history.get(history.size() - 1);
+    boolean isOut = version(DOMAIN_KEY) > 0;
+    if (isOut) {
+      store.delete(DOMAIN_KEY, version(DOMAIN_KEY));
+    } else {
+      store.put(DOMAIN_KEY, "{\"out\": true}", 0);
+    }
+    Set<FailureDomain> domains = isOut ? Set.of() : Set.of(new FailureDomain("east"));
+    history.add(new Wanted(last.routes(), new ServiceMarks(domains, Set.of())));
+    announce();
+  }
+
+  private void announce() {
+    for (Node node : nodes) {
+      node.config.onSourcesChanged(storeRevision(), nowMs);
+    }
+  }
+
+  void setDown(boolean down) {
+    faulty.setDown(down);
+  }
+
+  void loseAnswer() {
+    faulty.loseAnswers(1);
+  }
+
+  void restart(int index) {
+    nodes.set(index, new Node(index));
+  }
+
+  void dropMessage(int index) {
+    nodes.get(index).messages.pollFirst();
+  }
+
+  void advance(int index, long stepMs) {
+    nowMs += stepMs;
+    Node node = nodes.get(index);
+    node.runConfig(node.config.onTick(true, nowMs));
+    node.runSpread(node.spread.onTick(nowMs));
+  }
+
+  void runJob(int index) {
+    run(nodes.get(index).jobs.pollFirst());
+  }
+
+  void receive(int index) {
+    run(nodes.get(index).messages.pollFirst());
+  }
+
+  /** Delivers the state of the next daemon at once, ahead of all other messages. */
+  void push(int index) {
+    Node to = nodes.get(index);
+    TopicState state = nodes.get((index + 1) % DAEMONS).spread.state(ConfigKeys.ACCEPTED);
+    if (state != null) {
+      to.runSpread(to.spread.offer(state, null));
+    }
+  }
+
+  private static void run(@Nullable Runnable next) {
+    if (next != null) {
+      next.run();
+    }
+  }
+
+  /** Ends all faults and lets every daemon run until the newest edit must be in force. */
+  void settle() {
+    faulty.setDown(false);
+    faulty.loseAnswers(0);
+    announce();
+    for (int round = 0; round < 60; round++) {
+      for (int index = 0; index < DAEMONS; index++) {
+        advance(index, 250);
+      }
+      for (int turn = 0; turn < 40; turn++) {
+        for (int index = 0; index < DAEMONS; index++) {
+          runJob(index);
+          receive(index);
+        }
+      }
+      check();
+    }
+    Wanted last = history.get(history.size() - 1);
+    for (Node node : nodes) {
+      AcceptedConfig config = node.config.inForce();
+      assertWithMessage("daemon %s", node.index).that(config.marks()).isEqualTo(last.marks());
+      assertThat(config.generation()).isEqualTo(storedGeneration);
+      assertThat(history.stream().map(Wanted::routes).toList()).contains(config.routes());
+    }
+    boolean lastTableIsValid = !"bad".equals(value(ConfigKeys.ROUTES));
+    if (lastTableIsValid) {
+      assertThat(nodes.get(0).config.inForce().routes()).isEqualTo(last.routes());
+    }
+  }
+
+  /** Safety, after every step: generations grow, name one content and never go back in history. */
+  void check() {
+    if (store.get(ConfigKeys.ACCEPTED) instanceof ReadResult.Found found) {
+      AcceptedConfig stored = decode(found.object().value());
+      assertThat(stored.generation()).isAtLeast(storedGeneration);
+      storedGeneration = stored.generation();
+    }
+    for (Node node : nodes) {
+      AcceptedConfig config = node.config.inForce();
+      assertThat(config.generation()).isAtLeast(node.seenGeneration);
+      assertThat(config.generation()).isAtMost(storedGeneration);
+      node.seenGeneration = config.generation();
+      if (config.generation() > 0) {
+        checkContent(config);
+      }
+    }
+  }
+
+  private void checkContent(AcceptedConfig config) {
+    int edit = firstEditWith(config.routes());
+    assertThat(edit).isAtLeast(0);
+    Integer known = editOfGeneration.putIfAbsent(config.generation(), edit);
+    if (known != null) {
+      assertThat(edit).isEqualTo(known);
+    }
+    assertWithMessage("edits by generation %s", editOfGeneration)
+        .that(editOfGeneration.values())
+        .isInOrder();
+  }
+
+  private int firstEditWith(RouteTable routes) {
+    return history.stream().map(Wanted::routes).toList().indexOf(routes);
+  }
+
+  private AcceptedConfig decode(String text) {
+    return ((Checked.Valid<AcceptedConfig>) format.read(text)).value();
+  }
+
+  private long version(String key) {
+    return store.get(key) instanceof ReadResult.Found found ? found.object().version() : 0;
+  }
+
+  private @Nullable String value(String key) {
+    return store.get(key) instanceof ReadResult.Found found ? found.object().value() : null;
+  }
+
+  private long storeRevision() {
+    return ((ListResult.Listed) store.list("none/")).revision();
+  }
+}
