--- a/limpet-fleet/src/main/java/org/limpetring/fleet/Role.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/Role.java
@@ -1,5 +1,6 @@
 package org.limpetring.fleet;
 
+import java.util.Collection;
 import java.util.List;
 import org.limpetring.base.DaemonId;
 import org.limpetring.base.FabricDomain;
@@ -74,6 +75,11 @@
 
   /** The holders under {@code roster}, strongest first. */
   public List<DaemonId> holders(Roster roster) {
-    return Rendezvous.owners(kind + "/" + subject, roster.ids(), kind.holders());
+    return holders(roster.ids());
+  }
+
+  /** The holders among {@code daemons}, strongest first. */
+  public List<DaemonId> holders(Collection<DaemonId> daemons) {
+    return Rendezvous.owners(kind + "/" + subject, daemons, kind.holders());
   }
 }
--- a/limpet-fleet/src/main/java/org/limpetring/fleet/config/ConfigFormat.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/config/ConfigFormat.java
@@ -2,6 +2,7 @@
 
 import org.limpetring.tables.AcceptedConfig;
 import org.limpetring.tables.Checked;
+import org.limpetring.tables.TableChecks.JoinedTables;
 
 /** Reads the operators' tables and reads and writes the accepted configuration. */
 public interface ConfigFormat {
--- a/limpet-fleet/src/main/java/org/limpetring/fleet/config/SourceJoiner.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/config/SourceJoiner.java
@@ -9,7 +9,9 @@
 import org.limpetring.platform.StoredObject;
 import org.limpetring.tables.AcceptedConfig;
 import org.limpetring.tables.Checked;
+import org.limpetring.tables.ConfigKeys;
 import org.limpetring.tables.ServiceMarks;
+import org.limpetring.tables.TableChecks.JoinedTables;
 import org.limpetring.tables.TableMistake;
 
 /**
@@ -59,11 +61,11 @@
     Set<HostId> hosts = new HashSet<>();
     for (StoredObject source : sources) {
       String key = source.key();
-      if (isMark(key, ConfigKeys.OUT_DOMAIN_PREFIX)) {
-        domains.add(new FailureDomain(key.substring(ConfigKeys.OUT_DOMAIN_PREFIX.length())));
+      if (isMark(key, ConfigKeys.DOMAIN_PREFIX)) {
+        domains.add(new FailureDomain(key.substring(ConfigKeys.DOMAIN_PREFIX.length())));
       }
-      if (isMark(key, ConfigKeys.OUT_HOST_PREFIX)) {
-        hosts.add(new HostId(key.substring(ConfigKeys.OUT_HOST_PREFIX.length())));
+      if (isMark(key, ConfigKeys.HOST_PREFIX)) {
+        hosts.add(new HostId(key.substring(ConfigKeys.HOST_PREFIX.length())));
       }
     }
     return new ServiceMarks(domains, hosts);
--- a/limpet-fleet/src/test/java/org/limpetring/fleet/config/ConfigWorld.java
+++ b/limpet-fleet/src/test/java/org/limpetring/fleet/config/ConfigWorld.java
@@ -23,6 +23,7 @@
 import org.limpetring.platform.memory.MemoryObjectStore;
 import org.limpetring.tables.AcceptedConfig;
 import org.limpetring.tables.Checked;
+import org.limpetring.tables.ConfigKeys;
 import org.limpetring.tables.RouteTable;
 import org.limpetring.tables.ServiceMarks;
 
@@ -31,7 +32,7 @@
 
   static final int DAEMONS = 4;
 
-  private static final String DOMAIN_KEY = ConfigKeys.OUT_DOMAIN_PREFIX + "east";
+  private static final String DOMAIN_KEY = ConfigKeys.DOMAIN_PREFIX + "east";
 
   /** What the operators wanted after one edit. */
   private record Wanted(RouteTable routes, ServiceMarks marks) {}
--- a/limpet-fleet/src/test/java/org/limpetring/fleet/config/NumberedFormat.java
+++ b/limpet-fleet/src/test/java/org/limpetring/fleet/config/NumberedFormat.java
@@ -10,6 +10,7 @@
 import org.limpetring.tables.PoolTable;
 import org.limpetring.tables.Route;
 import org.limpetring.tables.RouteTable;
+import org.limpetring.tables.TableChecks.JoinedTables;
 import org.limpetring.tables.TableMistake;
 
 /** Format for tests: a table is a number or the word "bad"; a configuration is an index. */
--- /dev/null
+++ b/limpet-fleet/src/test/java/org/limpetring/fleet/role/package-info.java
@@ -0,0 +1,5 @@
+/** Proof that exclusive roles are held once while rosters change. */
+@NullMarked
+package org.limpetring.fleet.role;
+
+import org.jspecify.annotations.NullMarked;
