--- a/limpet-fleet/src/main/java/org/limpetring/fleet/freshness/FreshnessMachine.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/freshness/FreshnessMachine.java
@@ -15,33 +15,33 @@
  * platform and for each daemon of the roster the machine keeps the latest time, on its own
  * monotonic clock, at which it held all that the other held. Reports carry ages, and an age is
  * counted from the moment at which the report was asked for, so relaying a report only makes it
- * older. Each timestamp also bears the epoch that the other side confirmed with it.
+ * older. A timestamp therefore also says that the other had not learnt a newer roster by then.
  */
 public final class FreshnessMachine {
 
+  /** Longest age that daemons tell one another. */
+  public static final long HORIZON_MS = 10_000;
+
   private static final long NEVER_MS = Long.MIN_VALUE / 4;
 
   private final DaemonId self;
-  private final Map<DaemonId, Evidence> members = new HashMap<>();
-  private Evidence platform = new Evidence(0, NEVER_MS);
+  private final Map<DaemonId, Long> heardAtMs = new HashMap<>();
+  private long platformAtMs = NEVER_MS;
   private Roster roster = Roster.EMPTY;
   private long generation;
 
-  /** Time at which something was known to be current, and the epoch confirmed then. */
-  private record Evidence(long epoch, long atMs) {}
-
   /** Machine that has heard of nobody. */
   public FreshnessMachine(DaemonId self) {
     this.self = self;
   }
 
-  /** Takes a newer roster; evidence of daemons outside of it is dropped. */
+  /** Takes a newer roster; what was heard of daemons outside of it is dropped. */
   public void onRoster(Roster newer) {
     if (newer.epoch() <= roster.epoch()) {
       return;
     }
     roster = newer;
-    members.keySet().retainAll(newer.ids());
+    heardAtMs.keySet().retainAll(newer.ids());
   }
 
   /** Takes the generation of the configuration in force. */
@@ -49,9 +49,9 @@
     generation = Math.max(generation, newer);
   }
 
-  /** Notes that a platform read sent at {@code sentAtMs} showed {@code epoch} as the newest. */
-  public void onPlatformConfirmed(long epoch, long sentAtMs) {
-    platform = newer(platform, new Evidence(epoch, sentAtMs));
+  /** Notes that reads sent at {@code sentAtMs} showed nothing newer than what is held here. */
+  public void onPlatformConfirmed(long sentAtMs) {
+    platformAtMs = Math.max(platformAtMs, sentAtMs);
   }
 
   /**
@@ -64,9 +64,9 @@
     if (!holdsAll) {
       return;
     }
-    note(from, new Evidence(report.epoch(), askedAtMs));
+    note(from, askedAtMs);
     if (report.platformAgeMs() != FreshnessReport.NONE_MS) {
-      platform = newer(platform, new Evidence(report.epoch(), askedAtMs - report.platformAgeMs()));
+      onPlatformConfirmed(askedAtMs - report.platformAgeMs());
     }
     boolean sameRoster =
         report.epoch() == roster.epoch() && report.memberAgesMs().size() == roster.daemons().size();
@@ -76,7 +76,7 @@
     for (int index = 0; index < report.memberAgesMs().size(); index++) {
       long ageMs = report.memberAgesMs().get(index);
       if (ageMs != FreshnessReport.NONE_MS) {
-        note(roster.daemons().get(index).id(), new Evidence(report.epoch(), askedAtMs - ageMs));
+        note(roster.daemons().get(index).id(), askedAtMs - ageMs);
       }
     }
   }
@@ -85,73 +85,53 @@
    * What this daemon tells a peer.
    *
    * @param withMembers whether to add the ages of all daemons
-   * @param horizonMs oldest age worth telling
    */
-  public FreshnessReport report(boolean withMembers, long horizonMs, long nowMs) {
+  public FreshnessReport report(boolean withMembers, long nowMs) {
     List<Long> ages = new ArrayList<>();
     if (withMembers) {
       for (DaemonId member : roster.ids()) {
-        long ageMs = member.equals(self) ? 0 : nowMs - atMs(member, roster.epoch());
-        ages.add(ageMs <= horizonMs ? ageMs : FreshnessReport.NONE_MS);
+        ages.add(age(atMs(member, nowMs), nowMs));
       }
     }
-    long platformAgeMs = nowMs - platform.atMs();
-    boolean tellsPlatform = platform.epoch() == roster.epoch() && platformAgeMs <= horizonMs;
-    return new FreshnessReport(
-        roster.epoch(), generation, tellsPlatform ? platformAgeMs : FreshnessReport.NONE_MS, ages);
+    return new FreshnessReport(roster.epoch(), generation, age(platformAtMs, nowMs), ages);
   }
 
   /** Latest time at which the platform is known to have held nothing newer. */
   public long platformAtMs() {
-    return platform.atMs();
+    return platformAtMs;
   }
 
   /** Latest time at which this daemon held all that most of the roster held. */
   public long majorityAtMs(long nowMs) {
-    return majorityAtMs(nowMs, 0);
-  }
-
-  /** Latest time by which this daemon cannot have missed a change that others had learnt. */
-  public long currentAtMs(long nowMs) {
-    return Math.max(platform.atMs(), majorityAtMs(nowMs));
-  }
-
-  /** Latest time at which the platform confirmed the roster's epoch. */
-  public long epochByPlatformAtMs() {
-    return platform.epoch() == roster.epoch() ? platform.atMs() : NEVER_MS;
-  }
-
-  /** Latest time at which most of the roster confirmed its epoch. */
-  public long epochByMajorityAtMs(long nowMs) {
-    return majorityAtMs(nowMs, roster.epoch());
-  }
-
-  private long majorityAtMs(long nowMs, long minEpoch) {
     int size = roster.daemons().size();
     if (size == 0) {
       return NEVER_MS;
     }
     long[] times = new long[size];
     for (int index = 0; index < size; index++) {
-      DaemonId member = roster.daemons().get(index).id();
-      times[index] = member.equals(self) ? nowMs : atMs(member, minEpoch);
+      times[index] = atMs(roster.daemons().get(index).id(), nowMs);
     }
     Arrays.sort(times);
     return times[size - roster.majority()];
   }
 
-  private long atMs(DaemonId member, long minEpoch) {
-    Evidence evidence = members.get(member);
-    return evidence == null || evidence.epoch() < minEpoch ? NEVER_MS : evidence.atMs();
+  /** Latest time by which this daemon cannot have missed a change that others had learnt. */
+  public long currentAtMs(long nowMs) {
+    return Math.max(platformAtMs, majorityAtMs(nowMs));
+  }
+
+  private long atMs(DaemonId member, long nowMs) {
+    return member.equals(self) ? nowMs : heardAtMs.getOrDefault(member, NEVER_MS);
   }
 
-  private void note(DaemonId member, Evidence evidence) {
+  private void note(DaemonId member, long atMs) {
     if (!member.equals(self) && roster.contains(member)) {
-      members.merge(member, evidence, FreshnessMachine::newer);
+      heardAtMs.merge(member, atMs, Math::max);
     }
   }
 
-  private static Evidence newer(Evidence one, Evidence other) {
-    return other.atMs() > one.atMs() ? other : one;
+  private static long age(long atMs, long nowMs) {
+    long ageMs = nowMs - atMs;
+    return ageMs <= HORIZON_MS ? ageMs : FreshnessReport.NONE_MS;
   }
 }
--- a/limpet-fleet/src/main/java/org/limpetring/fleet/role/RoleKeeper.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/role/RoleKeeper.java
@@ -8,7 +8,6 @@
 import java.util.TreeMap;
 import org.limpetring.base.DaemonId;
 import org.limpetring.base.Invariant;
-import org.limpetring.fleet.Role;
 import org.limpetring.fleet.roster.RosterRecord;
 
 /**
@@ -94,8 +93,9 @@
   /**
    * Snapshot for the request path.
    *
-   * @param confirmedAtMs latest confirmation of the newest epoch by the platform or a majority
-   * @param platformAtMs latest confirmation of the newest epoch by the platform
+   * @param confirmedAtMs latest time by which no newer epoch had been learnt by the platform or by
+   *     most of the roster
+   * @param platformAtMs latest time by which the platform held no newer epoch
    */
   public RoleView view(long confirmedAtMs, long platformAtMs) {
     List<RoleView.Wait> waits = new ArrayList<>();
@@ -107,11 +107,6 @@
     return new RoleView(self, isReleased, record, settings, confirmedAtMs, platformAtMs, waits);
   }
 
-  /** Whether this daemon may act in {@code role}; see {@link RoleView#mayAct}. */
-  public boolean mayAct(Role role, long confirmedAtMs, long platformAtMs, long nowMs) {
-    return view(confirmedAtMs, platformAtMs).mayAct(role, nowMs);
-  }
-
   private void countAcknowledgements(long epoch, Pending older, long nowMs) {
     if (older.majorityAtMs != NEVER_MS) {
       return;
--- a/limpet-fleet/src/main/java/org/limpetring/fleet/role/RoleView.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/role/RoleView.java
@@ -13,8 +13,9 @@
  * <p>An old snapshot is safe to use: what it permits ends by the clock.
  *
  * @param isReleased whether this daemon has given up all roles for good
- * @param confirmedAtMs latest time at which the platform or most of the roster confirmed the epoch
- * @param platformAtMs latest time at which the platform confirmed the epoch
+ * @param confirmedAtMs latest time by which no newer epoch had been learnt by the platform or by
+ *     most of the roster
+ * @param platformAtMs latest time by which the platform held no newer epoch
  * @param waits older epochs under which another daemon may still act
  */
 public record RoleView(
--- a/limpet-fleet/src/test/java/org/limpetring/fleet/role/TakeoverWorld.java
+++ b/limpet-fleet/src/test/java/org/limpetring/fleet/role/TakeoverWorld.java
@@ -130,7 +130,7 @@
                 () -> {
                   learn(read);
                   if (read.epoch() >= record.epoch()) {
-                    freshness.onPlatformConfirmed(read.epoch(), sentAtMs);
+                    freshness.onPlatformConfirmed(sentAtMs);
                   }
                 });
           });
@@ -141,7 +141,7 @@
       if (hasLeft) {
         return;
       }
-      FreshnessReport report = freshness.report(true, SETTINGS.confirmationMs(), clockMs());
+      FreshnessReport report = freshness.report(true, clockMs());
       RosterRecord known = record;
       send(this, asker, () -> asker.onAnswer(this, known, report, askedAtMs));
     }
@@ -154,9 +154,7 @@
     }
 
     RoleView view() {
-      long platformAtMs = freshness.epochByPlatformAtMs();
-      long confirmedAtMs = Math.max(platformAtMs, freshness.epochByMajorityAtMs(clockMs()));
-      return keeper.view(confirmedAtMs, platformAtMs);
+      return keeper.view(freshness.currentAtMs(clockMs()), freshness.platformAtMs());
     }
   }
 
