--- a/limpet-fleet/src/test/java/org/limpetring/fleet/role/TakeoverStep.java
+++ b/limpet-fleet/src/test/java/org/limpetring/fleet/role/TakeoverStep.java
@@ -54,7 +54,7 @@
     SPLIT {
       @Override
       void run(TakeoverWorld world, TakeoverStep step) {
-        world.split(step.first);
+        world.split(step.first, step.amount % 2 == 0, step.amount % 3 == 0);
       }
     },
     CUT_PLATFORM {
@@ -124,7 +124,12 @@
   /** A step drawn from {@code random}; time passes in a third of all steps. */
   static TakeoverStep draw(SplittableRandom random) {
     Kind[] kinds = Kind.values();
-    Kind kind = random.nextInt(3) == 0 ? Kind.ADVANCE : kinds[random.nextInt(kinds.length)];
+    Kind kind = kinds[random.nextInt(kinds.length)];
+    switch (random.nextInt(6)) {
+      case 0, 1 -> kind = Kind.ADVANCE;
+      case 2 -> kind = random.nextBoolean() ? Kind.EVICT : Kind.SPLIT;
+      default -> {}
+    }
     return new TakeoverStep(
         kind, random.nextInt(MAX_NUMBER), random.nextInt(MAX_NUMBER), 1 + random.nextInt(6));
   }
--- a/limpet-fleet/src/test/java/org/limpetring/fleet/role/TakeoverWorld.java
+++ b/limpet-fleet/src/test/java/org/limpetring/fleet/role/TakeoverWorld.java
@@ -209,12 +209,16 @@
     }
   }
 
-  /** Separates all daemons below {@code bound} from the rest. */
-  void split(int bound) {
+  /**
+   * Separates the daemons below {@code bound} from the rest; only one side may reach the platform.
+   */
+  void split(int bound, boolean lowerReaches, boolean upperReaches) {
     cutPairs.clear();
     for (Node one : nodes) {
+      boolean isLower = one.number < bound % nodes.size();
+      one.isCutFromPlatform = isLower ? !lowerReaches : !upperReaches;
       for (Node other : nodes) {
-        if (one.number < bound % nodes.size() && other.number >= bound % nodes.size()) {
+        if (isLower && other.number >= bound % nodes.size()) {
           cutPairs.add(pair(one, other));
         }
       }
