--- a/limpet-fleet/src/test/java/org/limpetring/fleet/role/TakeoverProperties.java
+++ b/limpet-fleet/src/test/java/org/limpetring/fleet/role/TakeoverProperties.java
@@ -41,6 +41,18 @@
     assertThat(totals.actions()).isGreaterThan(0);
   }
 
+  @Example
+  void aMinorityWithoutPlatformDoesNotKeepItselfConfirmed() {
+    for (int evicted = 0; evicted < 2; evicted++) {
+      TakeoverWorld world = new TakeoverWorld(evicted);
+      world.advance(5_000);
+      world.split(2, false, true);
+      world.advance(400);
+      world.evict(4, evicted, 1);
+      world.advance(8_000);
+    }
+  }
+
   @Provide
   Arbitrary<List<TakeoverStep>> steps() {
     Arbitrary<TakeoverStep.Kind> kinds =
