--- a/limpet-base/src/main/java/org/limpetring/base/ResultCode.java
+++ b/limpet-base/src/main/java/org/limpetring/base/ResultCode.java
@@ -33,6 +33,12 @@
       RunState.NOT_RUN,
       Retry.NEVER,
       "The Idempotency-Key was used with a different request."),
+  KEY_MALFORMED(
+      1008,
+      400,
+      RunState.NOT_RUN,
+      Retry.NEVER,
+      "The Idempotency-Key is not a UUID of version 7 (RFC 9562)."),
 
   NO_GROUP_SERVING(
       2001, 503, RunState.NOT_RUN, Retry.LATER, "No group or upstream of the pool is serving."),
--- /dev/null
+++ b/limpet-routing/src/main/java/org/limpetring/routing/claim/ClaimId.java
@@ -0,0 +1,43 @@
+package org.limpetring.routing.claim;
+
+import com.google.common.hash.HashCode;
+import com.google.common.hash.Hashing;
+import com.google.common.io.BaseEncoding;
+import java.nio.charset.StandardCharsets;
+import org.limpetring.base.CallerId;
+
+/**
+ * Digest of a caller and its idempotency key, so that callers cannot take each other's keys.
+ *
+ * @param value 128 bits in the URL alphabet of base 64
+ */
+public record ClaimId(String value) {
+
+  /** Shards of all claims; fixed, because a key that changed its shard could run twice. */
+  public static final int SHARD_COUNT = 16;
+
+  static final BaseEncoding BASE_64 = BaseEncoding.base64Url().omitPadding();
+
+  /** Digest of {@code key} as used by {@code caller}. */
+  public static ClaimId of(CallerId caller, IdempotencyKey key) {
+    HashCode hash =
+        Hashing.murmur3_128().hashString(caller + "\n" + key.value(), StandardCharsets.UTF_8);
+    return new ClaimId(BASE_64.encode(hash.asBytes()));
+  }
+
+  /** Digest of 64 bits of a request's method, path and body. */
+  public static String requestDigest(String method, String path, byte[] body) {
+    HashCode hash =
+        Hashing.murmur3_128()
+            .newHasher()
+            .putString(method + "\n" + path + "\n", StandardCharsets.UTF_8)
+            .putBytes(body)
+            .hash();
+    return BASE_64.encode(hash.asBytes(), 0, Long.BYTES);
+  }
+
+  /** Shard that holds the claim, from 0. */
+  public int shard() {
+    return Math.floorMod(value.hashCode(), SHARD_COUNT);
+  }
+}
--- a/limpet-routing/src/main/java/org/limpetring/routing/request/RequestMachine.java
+++ b/limpet-routing/src/main/java/org/limpetring/routing/request/RequestMachine.java
@@ -146,7 +146,13 @@
       return List.of();
     }
     runState = runState.then(code.runState());
-    return finish(code);
+    if (code != ResultCode.CLAIM_UNAVAILABLE || traits.claimKey() == null) {
+      return finish(code);
+    }
+    List<RequestEffect> effects = new ArrayList<>();
+    effects.add(new SettleClaim(traits.claimKey(), RunState.NOT_RUN));
+    effects.addAll(finish(code));
+    return effects;
   }
 
   private List<RequestEffect> onClaimReplayed() {
