--- a/limpet-standin/src/main/java/org/limpetring/standin/LimpetStandin.java
+++ b/limpet-standin/src/main/java/org/limpetring/standin/LimpetStandin.java
@@ -18,7 +18,6 @@
 /** Entry point: runs the stand-ins that the settings file names until it is stopped. */
 public final class LimpetStandin {
 
-  private static final Logger LOGGER = Logger.getLogger(LimpetStandin.class);
   private static final int EXIT_USAGE = 2;
   private static final int EXIT_FAILED = 1;
 
@@ -47,13 +46,14 @@
     if (file == null) {
       throw new ParseException("--settings FILE is missing");
     }
+    Logger logger = Logger.getLogger(LimpetStandin.class);
     try {
       StandinSettings settings = Json.readFile(Path.of(file), StandinSettings.class);
       Standin standin = Standin.start(settings);
       Runtime.getRuntime().addShutdownHook(new Thread(standin::close, "stop"));
-      LogEvent.PROCESS_STARTED.log(LOGGER, "limpet-standin", settings.control());
+      LogEvent.PROCESS_STARTED.log(logger, "limpet-standin", settings.control());
     } catch (IOException failure) {
-      LogEvent.SETTINGS_REJECTED.log(LOGGER, failure.toString());
+      LogEvent.SETTINGS_REJECTED.log(logger, failure.toString());
       System.exit(EXIT_FAILED);
     }
   }
@@ -68,6 +68,7 @@
 
   private static void help(Options options) throws IOException {
     HelpFormatter.builder()
+        .setShowSince(false)
         .get()
         .printHelp("limpet-standin --settings FILE", "", options, "", false);
   }
