Load and experiment tool with a checker from outside

Cause: nothing measured the promises from the callers' side. Change: limpet-load offers load in open loop from a seeded schedule, performs faults and operators' acts, holds what callers saw against the stand-ins' log and writes JSON, text and a plot. It uses the stand-in's types for the log, so it depends on limpet-standin.

--- /dev/null
+++ b/limpet-load/src/main/java/org/limpetring/load/check/package-info.java
@@ -0,0 +1,5 @@
+/** Checks of the promises from outside of the system. */
+@NullMarked
+package org.limpetring.load.check;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/limpet-load/src/main/java/org/limpetring/load/report/TextReport.java
@@ -0,0 +1,81 @@
+package org.limpetring.load.report;
+
+import java.util.Locale;
+import org.limpetring.load.check.Promise;
+
+/** Writes a report as plain text. */
+public final class TextReport {
+
+  private static final double MS_PER_SECOND = 1_000;
+
+  private final StringBuilder text = new StringBuilder();
+
+  private TextReport() {}
+
+  /** Text of {@code report}. */
+  public static String write(Report report) {
+    TextReport writer = new TextReport();
+    writer.head(report);
+    report.promises().forEach(writer::promise);
+    report.phases().forEach(writer::phase);
+    writer.teams(report);
+    return writer.text.toString();
+  }
+
+  private void head(Report report) {
+    line("%s, seed %d: %s", report.experiment(), report.seed(), report.pass() ? "PASS" : "FAIL");
+    line(
+        "group downtime %.1f s, stranded hosts %.1f s, platform %d reads %d writes",
+        report.groupDowntimeMs() / MS_PER_SECOND,
+        report.strandedHostMs() / MS_PER_SECOND,
+        report.platformReads(),
+        report.platformWrites());
+    report.marks().forEach(mark -> line("  %6.1f s %s", mark.atMs() / MS_PER_SECOND, mark.label()));
+  }
+
+  private void promise(Promise promise) {
+    line(
+        "%s %s: %d of %d broken%s",
+        promise.kept() ? "kept  " : "BROKEN",
+        promise.name(),
+        promise.violations(),
+        promise.checked(),
+        promise.figure().isEmpty() ? "" : "; " + promise.figure());
+    promise.examples().forEach(example -> line("         %s", example));
+  }
+
+  private void phase(Report.PhaseReport phase) {
+    line(
+        "phase %s: factor %.2f, offered %d, good %d (%.1f/s), codes %s",
+        phase.name(),
+        phase.factor(),
+        phase.offered(),
+        phase.good(),
+        phase.goodPerSecond(),
+        phase.codes());
+    for (Report.Latency latency : phase.latencies()) {
+      line(
+          "  %-14s %-8s n=%-8d p50 %8.1f  p95 %8.1f  p99 %8.1f  max %8.1f ms",
+          latency.kind(),
+          latency.measure(),
+          latency.count(),
+          latency.p50(),
+          latency.p95(),
+          latency.p99(),
+          latency.max());
+    }
+  }
+
+  private void teams(Report report) {
+    for (Report.TeamReport team : report.teams()) {
+      double share = team.offered() == 0 ? 0 : 100.0 * team.good() / team.offered();
+      line(
+          "team %-20s offered %6d  good %5.1f%%  first p95 %.0f ms",
+          team.name(), team.offered(), share, team.firstP95Ms());
+    }
+  }
+
+  private void line(String format, Object... arguments) {
+    text.append(String.format(Locale.ROOT, format, arguments)).append('\n');
+  }
+}
--- /dev/null
+++ b/limpet-load/src/test/java/org/limpetring/load/check/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the checks of the promises. */
+@NullMarked
+package org.limpetring.load.check;
+
+import org.jspecify.annotations.NullMarked;
--- a/limpet-standin/src/main/java/org/limpetring/standin/ControlService.java
+++ b/limpet-standin/src/main/java/org/limpetring/standin/ControlService.java
@@ -4,6 +4,8 @@
 import java.util.List;
 import org.jspecify.annotations.Nullable;
 import org.limpetring.base.Clock;
+import org.limpetring.standin.engine.EngineFleet;
+import org.limpetring.standin.engine.EngineState;
 import org.limpetring.standin.host.Fault;
 import org.limpetring.standin.host.RunEntry;
 import org.limpetring.standin.host.RunLog;
@@ -20,11 +22,17 @@
 
   private final List<SimulatedHost> hosts;
   private final RunLog log;
+  private final EngineFleet fleet;
   private final @Nullable PlatformService platform;
 
-  ControlService(List<SimulatedHost> hosts, RunLog log, @Nullable PlatformService platform) {
+  ControlService(
+      List<SimulatedHost> hosts,
+      RunLog log,
+      EngineFleet fleet,
+      @Nullable PlatformService platform) {
     this.hosts = List.copyOf(hosts);
     this.log = log;
+    this.fleet = fleet;
     this.platform = platform;
   }
 
@@ -37,6 +45,7 @@
               200,
               new LogAnswer(
                   Clock.wall().nowMs(), log.entries(exchange.queryLong("first", 0), PAGE_SIZE)));
+      case "/state" -> exchange.answer(200, new StateAnswer(Clock.wall().nowMs(), fleet.states()));
       case "/calls" -> calls(exchange);
       default -> exchange.answer(404, new Refusal("no such path"));
     }
@@ -63,6 +72,8 @@
 
   private record LogAnswer(long nowMs, List<RunEntry> entries) {}
 
+  private record StateAnswer(long nowMs, List<EngineState> engines) {}
+
   private record FaultAnswer(int hosts, long atMs) {}
 
   private record Refusal(String error) {}
--- a/limpet-standin/src/main/java/org/limpetring/standin/Standin.java
+++ b/limpet-standin/src/main/java/org/limpetring/standin/Standin.java
@@ -29,11 +29,13 @@
   private final RunLog log = new RunLog();
   private final Map<String, SimulatedHost> hosts = new HashMap<>();
   private final WeightLoader loader;
+  private final EngineFleet fleet;
 
   private Standin(StandinSettings settings) {
     this.settings = settings;
     StandinSettings.Platform platform = settings.platform();
     loader = new WeightLoader(platform == null ? 0 : platform.loadsAtOnce());
+    fleet = new EngineFleet(loader, log);
   }
 
   /** Starts all stand-ins and listens. */
@@ -93,7 +95,6 @@
   }
 
   private void openEngines() {
-    EngineFleet fleet = new EngineFleet(loader, log);
     for (StandinSettings.Engine engine : settings.engines()) {
       SimulatedHost host = host(engine.host());
       EngineService service = fleet.add(engine, host);
@@ -114,7 +115,7 @@
   }
 
   private void openControl(@Nullable PlatformService platform) {
-    ControlService control = new ControlService(List.copyOf(hosts.values()), log, platform);
+    ControlService control = new ControlService(List.copyOf(hosts.values()), log, fleet, platform);
     endpoints.open(settings.control().address(), settings.control().port(), control);
   }
 
--- a/limpet-standin/src/main/java/org/limpetring/standin/engine/EngineFleet.java
+++ b/limpet-standin/src/main/java/org/limpetring/standin/engine/EngineFleet.java
@@ -1,6 +1,7 @@
 package org.limpetring.standin.engine;
 
 import java.util.HashMap;
+import java.util.List;
 import java.util.Map;
 import org.limpetring.base.Clock;
 import org.limpetring.standin.StandinSettings;
@@ -28,6 +29,15 @@
     return new EngineService(engine, new ChatExecution(engine, log, () -> crash(host)));
   }
 
+  /** State of each engine, dead ones included. */
+  public List<EngineState> states() {
+    return engines.values().stream()
+        .map(
+            engine ->
+                new EngineState(engine.host().alive(), engine.host().paused(), engine.report()))
+        .toList();
+  }
+
   private static void crash(SimulatedHost host) {
     host.apply(new Fault(host.name(), Fault.Kind.KILL, 1, 0, 0));
     host.apply(new Fault(host.name(), Fault.Kind.HEAL, 1, 0, 0));
