--- a/limpet-fleet/src/test/java/org/limpetring/fleet/config/ConfigMachineProperties.java
+++ b/limpet-fleet/src/test/java/org/limpetring/fleet/config/ConfigMachineProperties.java
@@ -3,9 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 
 import net.jqwik.api.Arbitraries;
-import net.jqwik.api.Example;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
+import net.jqwik.api.Example;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
 import net.jqwik.api.Provide;
--- /dev/null
+++ b/limpetd/src/test/java/org/limpetring/daemon/LayersTest.java
@@ -0,0 +1,36 @@
+package org.limpetring.daemon;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+
+/** A library imports only those below it. */
+final class LayersTest {
+
+  private static final List<String> LAYERS =
+      List.of(
+          "base", "tables", "platform", "peer", "fleet", "groups", "routing", "engine", "daemon");
+
+  @Test
+  void noLibraryReachesUpwards() {
+    JavaClasses classes =
+        new ClassFileImporter()
+            .withImportOption(new ImportOption.DoNotIncludeTests())
+            .importPackages("org.limpetring");
+    for (int lower = 0; lower < LAYERS.size(); lower++) {
+      for (int higher = lower + 1; higher < LAYERS.size(); higher++) {
+        noClasses()
+            .that()
+            .resideInAPackage("org.limpetring." + LAYERS.get(lower) + "..")
+            .should()
+            .dependOnClassesThat()
+            .resideInAPackage("org.limpetring." + LAYERS.get(higher) + "..")
+            .check(classes);
+      }
+    }
+  }
+}
