Claims in shards, replay of held answers, settings read as a whole

Cause: one conditional write a claim passes the platform's rate at a few hundred orders a second, and a key that is not a UUID of version 7 would have been refused, which no caller expects. Change: ShardedClaims over ClaimShardRunner; keys without a time are taken too; whole plain answers replayed.

--- a/limpet-routing/src/main/java/org/limpetring/routing/claim/ClaimId.java
+++ b/limpet-routing/src/main/java/org/limpetring/routing/claim/ClaimId.java
@@ -20,8 +20,12 @@
 
   /** Digest of {@code key} as used by {@code caller}. */
   public static ClaimId of(CallerId caller, IdempotencyKey key) {
-    HashCode hash =
-        Hashing.murmur3_128().hashString(caller + "\n" + key.value(), StandardCharsets.UTF_8);
+    return ofOpaque(caller, key.value().toString());
+  }
+
+  /** Digest of a key without a time, as used by {@code caller}. */
+  public static ClaimId ofOpaque(CallerId caller, String key) {
+    HashCode hash = Hashing.murmur3_128().hashString(caller + "\n" + key, StandardCharsets.UTF_8);
     return new ClaimId(BASE_64.encode(hash.asBytes()));
   }
 
--- a/limpetd/src/main/java/org/limpetring/daemon/caller/CallerAnswer.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/caller/CallerAnswer.java
@@ -5,6 +5,8 @@
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
+import java.util.Objects;
+import java.util.Optional;
 import org.limpetring.base.RequestId;
 import org.limpetring.base.ResultCode;
 import org.limpetring.base.RunState;
@@ -26,6 +28,9 @@
   /** Header with the host that took the request. */
   static final String UPSTREAM_HEADER = "X-Limpet-Upstream";
 
+  /** Header that marks the stored answer of an earlier request. */
+  static final String REPLAY_HEADER = "X-Limpet-Replayed";
+
   /** Header with the request id. */
   static final String REQUEST_HEADER = "X-Limpet-Request";
 
@@ -40,6 +45,7 @@
   private int deliveredEvents;
   private boolean started;
   private boolean whole;
+  private boolean overflowed;
 
   CallerAnswer(HttpServletResponse response, RequestId request, boolean streamed) {
     this.response = response;
@@ -83,9 +89,30 @@
     response.flushBuffer();
   }
 
-  /** Body that a repeat of the request may be answered with; empty for streams and long bodies. */
-  byte[] heldBody() {
-    return streamed ? new byte[0] : held.toByteArray();
+  /** HTTP status of the answer. */
+  int status() {
+    return response.getStatus();
+  }
+
+  /** Content type of the answer. */
+  String contentType() {
+    return Objects.requireNonNullElse(response.getContentType(), "application/octet-stream");
+  }
+
+  /** Sends an answer that an earlier request with the same key got. */
+  void replay(int status, String contentType, byte[] body) throws IOException {
+    response.setStatus(status);
+    response.setContentType(contentType);
+    response.setHeader(REPLAY_HEADER, "true");
+    response.getOutputStream().write(body);
+    response.flushBuffer();
+    started = true;
+    whole = true;
+  }
+
+  /** Whole body that a repeat may be answered with; empty for streams and long bodies. */
+  Optional<byte[]> wholeBody() {
+    return whole && !streamed && !overflowed ? Optional.of(held.toByteArray()) : Optional.empty();
   }
 
   /** Ends the answer with an error. */
@@ -147,6 +174,7 @@
     response.getOutputStream().write(held.toByteArray());
     response.getOutputStream().write(bytes);
     held.reset();
+    overflowed = true;
   }
 
   private void writeError(ResultCode code, String body) throws IOException {
--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/DaemonModule.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/DaemonModule.java
@@ -8,10 +8,11 @@
 import org.limpetring.base.DaemonId;
 import org.limpetring.daemon.caller.Admission;
 import org.limpetring.daemon.caller.ChoosingAdmission;
+import org.limpetring.daemon.caller.ClaimPort;
 import org.limpetring.daemon.caller.Claims;
 import org.limpetring.daemon.caller.DaemonState;
-import org.limpetring.daemon.caller.DirectClaims;
 import org.limpetring.daemon.caller.InProgress;
+import org.limpetring.daemon.caller.ShardedClaims;
 import org.limpetring.daemon.settings.DaemonSettings;
 import org.limpetring.engine.EnginePort;
 import org.limpetring.engine.http.EngineSettings;
@@ -41,7 +42,9 @@
     bind(HostPoller.class).in(Singleton.class);
     bind(LiveState.class).in(Singleton.class);
     bind(DaemonState.class).to(LiveState.class);
-    bind(Claims.class).to(DirectClaims.class).in(Singleton.class);
+    bind(LocalClaims.class).in(Singleton.class);
+    bind(ClaimPort.class).to(LocalClaims.class);
+    bind(Claims.class).to(ShardedClaims.class).in(Singleton.class);
     bind(Admission.class).to(ChoosingAdmission.class).in(Singleton.class);
   }
 
--- /dev/null
+++ b/limpetd/src/test/java/org/limpetring/daemon/settings/SettingsReaderTest.java
@@ -0,0 +1,43 @@
+package org.limpetring.daemon.settings;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+import org.limpetring.tables.Checked;
+import org.limpetring.tables.TableMistake;
+
+final class SettingsReaderTest {
+
+  private static final String GOOD =
+      """
+      { // one daemon
+        "name": "d", "address": "127.0.0.1", "callerPort": 7300, "adminPort": 7301,
+        "peerPort": 7302, "failureDomain": "north", "platformUrl": "http://127.0.0.1:7100"
+      }
+      """;
+
+  @Test
+  void goodSettingsAreRead() {
+    assertThat(SettingsReader.read(GOOD)).isInstanceOf(Checked.Valid.class);
+  }
+
+  @Test
+  void everyMistakeIsListedAtOnce() {
+    String bad =
+        GOOD.replace("7300", "70000")
+            .replace("\"north\"", "\"no rth\"")
+            .replace("\"name\"", "\"nam\"");
+    List<TableMistake> mistakes =
+        ((Checked.Invalid<DaemonSettings>) SettingsReader.read(bad)).mistakes();
+    assertThat(mistakes.stream().map(TableMistake::field))
+        .containsExactly("/name", "/callerPort", "/failureDomain", "/nam");
+  }
+
+  @Property(seed = "7")
+  void anyTextIsReadWithoutFailure(@ForAll String text) {
+    assertThat(SettingsReader.read(text)).isInstanceOf(Checked.Invalid.class);
+  }
+}
