--- a/limpet-load/src/main/java/org/limpetring/load/schedule/Experiment.java
+++ b/limpet-load/src/main/java/org/limpetring/load/schedule/Experiment.java
@@ -8,6 +8,7 @@
 /**
  * Experiment as read from its file.
  *
+ * @param deployment directory of settings under {@code experiments/deployments}; for the script
  * @param seed fixes arrivals, contents and random faults
  * @param daemons base URLs that callers use, such as {@code http://127.0.0.11:8080}
  * @param standin base URL of the control socket of the stand-ins
@@ -23,6 +24,7 @@
  */
 public record Experiment(
     String name,
+    String deployment,
     long seed,
     List<String> daemons,
     String standin,
--- a/limpet-load/src/test/java/org/limpetring/load/LoadAgainstStandinTest.java
+++ b/limpet-load/src/test/java/org/limpetring/load/LoadAgainstStandinTest.java
@@ -92,6 +92,7 @@
   private Experiment experiment(List<Experiment.Step> steps) {
     return new Experiment(
         "direct",
+        "",
         7,
         List.of(url("127.0.6.2")),
         url("127.0.6.9"),
--- a/limpet-load/src/test/java/org/limpetring/load/check/PromiseCheckerTest.java
+++ b/limpet-load/src/test/java/org/limpetring/load/check/PromiseCheckerTest.java
@@ -91,6 +91,7 @@
   private static Experiment experiment() {
     return new Experiment(
         "x",
+        "",
         1,
         List.of("http://127.0.0.1:1"),
         "",
