--- a/limpet-peer/src/main/java/org/limpetring/peer/PeerSettings.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/PeerSettings.java
@@ -47,6 +47,6 @@
 
   /** Settings with the usual deadlines. */
   public static PeerSettings withDefaults(DaemonId self, String bindIp, int port) {
-    return new PeerSettings(self, bindIp, port, 500, 500, 1_500, 30_000, 256, 1_024, 4);
+    return new PeerSettings(self, bindIp, port, 500, 500, 1_500, 1_800_000, 256, 1_024, 4);
   }
 }
--- a/limpet-peer/src/test/java/org/limpetring/peer/PeerTlsTest.java
+++ b/limpet-peer/src/test/java/org/limpetring/peer/PeerTlsTest.java
@@ -2,7 +2,6 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
-import io.netty.pkitesting.CertificateBuilder;
 import io.netty.pkitesting.X509Bundle;
 import java.nio.file.Files;
 import java.nio.file.Path;
@@ -20,7 +19,7 @@
   private static final long NO_REREAD_MS = 3_600_000;
 
   private final AtomicInteger handled = new AtomicInteger();
-  private X509Bundle authority = authority("peers");
+  private X509Bundle authority = TestIdentity.authority("peers");
   private NettyPeerTransport server = TestPeers.open("unused", null);
 
   @TempDir Path directory = Path.of("unused");
@@ -43,7 +42,7 @@
 
   @Test
   void foreignClientIsRefusedAndCounted() throws Exception {
-    X509Bundle foreign = authority("foreign");
+    X509Bundle foreign = TestIdentity.authority("foreign");
     double before = refusals();
     assertThat(served(files("c", foreign, authority.getCertificatePEM(), NO_REREAD_MS))).isFalse();
     Awaitility.await().until(() -> refusals() > before);
@@ -52,7 +51,7 @@
 
   @Test
   void foreignServerIsRefusedByTheClient() throws Exception {
-    X509Bundle foreign = authority("foreign");
+    X509Bundle foreign = TestIdentity.authority("foreign");
     assertThat(served(files("c", authority, foreign.getCertificatePEM(), NO_REREAD_MS))).isFalse();
     assertThat(handled.get()).isEqualTo(0);
   }
@@ -68,7 +67,7 @@
   @Test
   void rotationKeepsOpenConnectionsAndRefusesTheOldAuthorityOnNewOnes() throws Exception {
     PeerTls oldFiles = files("old", authority, authority.getCertificatePEM(), NO_REREAD_MS);
-    X509Bundle next = authority("next");
+    X509Bundle next = TestIdentity.authority("next");
     PeerAddress address = TestPeers.addressOf(server);
     NettyPeerTransport running = TestPeers.open("old", oldFiles);
     try {
@@ -112,29 +111,7 @@
 
   private PeerTls files(String name, X509Bundle issuer, String trustedPem, long rereadMs)
       throws Exception {
-    X509Bundle leaf = new CertificateBuilder().ecp256().subject("CN=" + name).buildIssuedBy(issuer);
-    PeerTls files =
-        new PeerTls(
-            directory.resolve(name + ".crt"),
-            directory.resolve(name + ".key"),
-            directory.resolve(name + ".ca"),
-            rereadMs);
-    Files.writeString(files.certificateFile(), leaf.getCertificatePathPEM());
-    Files.writeString(files.keyFile(), leaf.getPrivateKeyPEM());
-    Files.writeString(files.caFile(), trustedPem);
-    return files;
-  }
-
-  private static X509Bundle authority(String name) {
-    try {
-      return new CertificateBuilder()
-          .ecp256()
-          .subject("CN=" + name)
-          .setIsCertificateAuthority(true)
-          .buildSelfSigned();
-    } catch (Exception failure) {
-      throw new IllegalStateException(failure);
-    }
+    return TestIdentity.files(directory, name, issuer, trustedPem, rereadMs);
   }
 
   private static double refusals() {
--- a/limpet-platform/src/main/java/org/limpetring/platform/http/HttpPlatformClient.java
+++ b/limpet-platform/src/main/java/org/limpetring/platform/http/HttpPlatformClient.java
@@ -30,6 +30,7 @@
 import org.apache.hc.core5.net.URIBuilder;
 import org.apache.hc.core5.util.TimeValue;
 import org.apache.hc.core5.util.Timeout;
+import org.jspecify.annotations.Nullable;
 import org.limpetring.base.Metrics;
 
 /**
@@ -55,26 +56,42 @@
             return thread;
           });
 
-  /** Opens no connection before the first call. */
+  /** Client with the trust settings of the Java runtime; opens no connection before a call. */
   public HttpPlatformClient(PlatformSettings settings) {
+    this(settings, null);
+  }
+
+  /**
+   * Client whose {@code https} connections use the given files; opens no connection before a call.
+   *
+   * @throws IllegalArgumentException if the files cannot be used
+   */
+  public HttpPlatformClient(PlatformSettings settings, @Nullable PlatformTls tls) {
     this.settings = settings;
     ConnectionConfig connections =
         ConnectionConfig.custom()
             .setConnectTimeout(Timeout.ofMilliseconds(settings.connectTimeoutMs()))
             .setValidateAfterInactivity(TimeValue.ofMilliseconds(VALIDATE_IDLE_MS))
             .build();
+    PoolingHttpClientConnectionManagerBuilder manager =
+        PoolingHttpClientConnectionManagerBuilder.create()
+            .setDefaultConnectionConfig(connections)
+            .setMaxConnPerRoute(settings.maxConnections())
+            .setMaxConnTotal(settings.maxConnections());
+    if (tls != null) {
+      RotatingTls rotating = new RotatingTls(tls);
+      manager.setTlsSocketStrategy(rotating);
+      var unused =
+          deadlines.scheduleWithFixedDelay(
+              rotating::reread, tls.rereadMs(), tls.rereadMs(), TimeUnit.MILLISECONDS);
+    }
     this.client =
         HttpClients.custom()
             .disableAutomaticRetries()
             .disableRedirectHandling()
             .disableCookieManagement()
             .disableAuthCaching()
-            .setConnectionManager(
-                PoolingHttpClientConnectionManagerBuilder.create()
-                    .setDefaultConnectionConfig(connections)
-                    .setMaxConnPerRoute(settings.maxConnections())
-                    .setMaxConnTotal(settings.maxConnections())
-                    .build())
+            .setConnectionManager(manager.build())
             .build();
   }
 
--- /dev/null
+++ b/limpet-platform/src/main/java/org/limpetring/platform/http/PemContext.java
@@ -0,0 +1,86 @@
+package org.limpetring.platform.http;
+
+import java.io.ByteArrayInputStream;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.security.GeneralSecurityException;
+import java.security.KeyFactory;
+import java.security.KeyStore;
+import java.security.PrivateKey;
+import java.security.cert.Certificate;
+import java.security.cert.CertificateFactory;
+import java.security.spec.InvalidKeySpecException;
+import java.security.spec.PKCS8EncodedKeySpec;
+import java.util.Base64;
+import java.util.Collection;
+import java.util.List;
+import javax.net.ssl.KeyManagerFactory;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.TrustManagerFactory;
+
+/** Builds TLS contexts from PEM text. */
+final class PemContext {
+
+  private static final char[] NO_PASSWORD = new char[0];
+  private static final List<String> KEY_KINDS = List.of("EC", "RSA", "EdDSA");
+
+  private PemContext() {}
+
+  /** Context that trusts {@code caPem}; without certificate where {@code keyPem} is empty. */
+  static SSLContext build(byte[] caPem, byte[] certificatePem, byte[] keyPem)
+      throws GeneralSecurityException, IOException {
+    KeyStore trusted = emptyStore();
+    int index = 0;
+    for (Certificate authority : certificates(caPem)) {
+      trusted.setCertificateEntry("ca-" + index++, authority);
+    }
+    TrustManagerFactory trust =
+        TrustManagerFactory.getInstance(TrustManagerFactory.getDefaultAlgorithm());
+    trust.init(trusted);
+    KeyStore own = emptyStore();
+    if (keyPem.length > 0) {
+      Certificate[] chain = certificates(certificatePem).toArray(new Certificate[0]);
+      own.setKeyEntry("own", privateKey(keyPem), NO_PASSWORD, chain);
+    }
+    KeyManagerFactory keys = KeyManagerFactory.getInstance(KeyManagerFactory.getDefaultAlgorithm());
+    keys.init(own, NO_PASSWORD);
+    SSLContext context = SSLContext.getInstance("TLS");
+    context.init(keys.getKeyManagers(), trust.getTrustManagers(), null);
+    return context;
+  }
+
+  private static KeyStore emptyStore() throws GeneralSecurityException, IOException {
+    KeyStore store = KeyStore.getInstance("PKCS12");
+    store.load(null, NO_PASSWORD);
+    return store;
+  }
+
+  private static Collection<? extends Certificate> certificates(byte[] pem)
+      throws GeneralSecurityException {
+    Collection<? extends Certificate> found =
+        CertificateFactory.getInstance("X.509").generateCertificates(new ByteArrayInputStream(pem));
+    if (found.isEmpty()) {
+      throw new GeneralSecurityException("no certificate in PEM file");
+    }
+    return found;
+  }
+
+  private static PrivateKey privateKey(byte[] pem) throws GeneralSecurityException {
+    String base64 =
+        new String(pem, StandardCharsets.US_ASCII).replaceAll("-----[A-Z ]+-----|\\s", "");
+    PKCS8EncodedKeySpec encoded;
+    try {
+      encoded = new PKCS8EncodedKeySpec(Base64.getDecoder().decode(base64));
+    } catch (IllegalArgumentException malformed) {
+      throw new GeneralSecurityException("no private key in PEM file", malformed);
+    }
+    for (String kind : KEY_KINDS) {
+      try {
+        return KeyFactory.getInstance(kind).generatePrivate(encoded);
+      } catch (InvalidKeySpecException otherKind) {
+        continue;
+      }
+    }
+    throw new GeneralSecurityException("private key of unknown kind");
+  }
+}
--- /dev/null
+++ b/limpet-platform/src/test/java/org/limpetring/platform/client/WatcherMeasurement.java
@@ -0,0 +1,63 @@
+package org.limpetring.platform.client;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.junit.jupiter.api.Test;
+import org.limpetring.base.Clock;
+import org.limpetring.platform.StoredObject;
+import org.limpetring.platform.WatchResult;
+import org.limpetring.platform.memory.FaultyObjectStore;
+import org.limpetring.platform.memory.MemoryObjectStore;
+
+/**
+ * Counts the calls of a watcher at rest and during an outage; run by name, as its name keeps it out
+ * of the usual tests. Figures go to {@code target/watcher-measurement.txt}.
+ */
+class WatcherMeasurement {
+
+  private static final int SECONDS = 10;
+
+  @Test
+  void measure() throws IOException {
+    StringBuilder report = new StringBuilder();
+    for (long waitMs : List.of(1_000L, 2_000L, 5_000L)) {
+      report.append(callsPerSecond(waitMs, false));
+      report.append(callsPerSecond(waitMs, true));
+    }
+    Files.writeString(Path.of("target", "watcher-measurement.txt"), report);
+  }
+
+  private static String callsPerSecond(long waitMs, boolean isDown) {
+    FaultyObjectStore store = new FaultyObjectStore(new MemoryObjectStore());
+    store.setDown(isDown);
+    try (ObjectWatcher watcher =
+        new ObjectWatcher(
+            store,
+            "p/",
+            new Ignoring(),
+            Clock.system(),
+            Pause.sleeping(),
+            new Backoff(100, 2_000, 1),
+            waitMs)) {
+      watcher.start();
+      LockSupport.parkNanos(TimeUnit.SECONDS.toNanos(SECONDS));
+      double perSecond = (double) store.calls() / SECONDS;
+      return "wait " + waitMs + " ms, down " + isDown + ": " + perSecond + " calls/s\n";
+    }
+  }
+
+  private static final class Ignoring implements ObjectListener {
+    @Override
+    public void onSnapshot(List<StoredObject> objects, long revision) {}
+
+    @Override
+    public void onChange(WatchResult.Change change) {}
+
+    @Override
+    public void onConfirmed(long atMs) {}
+  }
+}
--- /dev/null
+++ b/limpet-platform/src/test/java/org/limpetring/platform/http/PlatformTlsTest.java
@@ -0,0 +1,135 @@
+package org.limpetring.platform.http;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import com.sun.net.httpserver.HttpsConfigurator;
+import com.sun.net.httpserver.HttpsParameters;
+import com.sun.net.httpserver.HttpsServer;
+import io.netty.pkitesting.CertificateBuilder;
+import io.netty.pkitesting.X509Bundle;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import javax.net.ssl.SSLContext;
+import javax.net.ssl.SSLParameters;
+import org.awaitility.Awaitility;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import org.limpetring.platform.ReadResult;
+import org.limpetring.platform.WriteResult;
+
+class PlatformTlsTest {
+
+  private static final long REREAD_MS = 50;
+
+  static {
+    System.setProperty("sun.net.httpserver.nodelay", "true");
+  }
+
+  @TempDir Path directory = Path.of("unused");
+
+  @Test
+  void onlyTheConfiguredAuthorityIsTrustedAndFilesAreReread() throws Exception {
+    X509Bundle authority = authority("platform");
+    X509Bundle foreign = authority("foreign");
+    X509Bundle daemons = authority("daemons");
+    HttpsServer server = server(authority, daemons);
+    PlatformTls files = files(foreign, daemons);
+    try (HttpPlatformClient client =
+        new HttpPlatformClient(
+            PlatformSettings.withDefaults("https://127.0.0.1:" + server.getAddress().getPort()),
+            files)) {
+      HttpObjectStore store = new HttpObjectStore(client);
+      assertThat(store.put("k", "v", 0)).isInstanceOf(WriteResult.Unavailable.class);
+      PlatformTls right = files(authority, daemons);
+      Awaitility.await().until(() -> store.get("k").equals(new ReadResult.Missing(1)));
+      assertThat(right).isEqualTo(files);
+      Files.writeString(files.caFile(), "garbage");
+      Awaitility.await()
+          .during(java.time.Duration.ofMillis(3 * REREAD_MS))
+          .until(() -> store.get("k").equals(new ReadResult.Missing(1)));
+    } finally {
+      server.stop(0);
+    }
+  }
+
+  @Test
+  void platformRefusesADaemonWithoutTheRightCertificate() throws Exception {
+    X509Bundle authority = authority("platform");
+    HttpsServer server = server(authority, authority("daemons"));
+    try (HttpPlatformClient client =
+        new HttpPlatformClient(
+            PlatformSettings.withDefaults("https://127.0.0.1:" + server.getAddress().getPort()),
+            files(authority, authority("others")))) {
+      assertThat(new HttpObjectStore(client).get("k")).isInstanceOf(ReadResult.Unavailable.class);
+    } finally {
+      server.stop(0);
+    }
+  }
+
+  private PlatformTls files(X509Bundle trusted, X509Bundle issuer) throws Exception {
+    X509Bundle own = leaf("daemon", issuer);
+    PlatformTls files =
+        new PlatformTls(
+            directory.resolve("ca"),
+            directory.resolve("certificate"),
+            directory.resolve("key"),
+            REREAD_MS);
+    Files.writeString(files.caFile(), trusted.getCertificatePEM());
+    Files.writeString(directory.resolve("certificate"), own.getCertificatePathPEM());
+    Files.writeString(directory.resolve("key"), own.getPrivateKeyPEM());
+    return files;
+  }
+
+  private static HttpsServer server(X509Bundle issuer, X509Bundle clients) throws Exception {
+    X509Bundle own = leaf("platform", issuer);
+    SSLContext context =
+        PemContext.build(
+            bytes(clients.getCertificatePEM()),
+            bytes(own.getCertificatePathPEM()),
+            bytes(own.getPrivateKeyPEM()));
+    HttpsServer server =
+        HttpsServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 0);
+    server.setHttpsConfigurator(
+        new HttpsConfigurator(context) {
+          @Override
+          public void configure(HttpsParameters parameters) {
+            SSLParameters wanted = context.getDefaultSSLParameters();
+            wanted.setNeedClientAuth(true);
+            parameters.setSSLParameters(wanted);
+          }
+        });
+    server.createContext(
+        "/",
+        exchange -> {
+          byte[] body = bytes("{\"revision\":1}");
+          exchange.sendResponseHeaders(404, body.length);
+          exchange.getResponseBody().write(body);
+          exchange.close();
+        });
+    server.start();
+    return server;
+  }
+
+  private static X509Bundle authority(String name) throws Exception {
+    return new CertificateBuilder()
+        .ecp256()
+        .subject("CN=" + name)
+        .setIsCertificateAuthority(true)
+        .buildSelfSigned();
+  }
+
+  private static X509Bundle leaf(String name, X509Bundle issuer) throws Exception {
+    return new CertificateBuilder()
+        .ecp256()
+        .subject("CN=" + name)
+        .addSanIpAddress("127.0.0.1")
+        .buildIssuedBy(issuer);
+  }
+
+  private static byte[] bytes(String text) {
+    return text.getBytes(StandardCharsets.UTF_8);
+  }
+}
