Timers of peer connections fire only when a decision is due

Cause: every connection woke up each heartbeat interval though at rest. Change: one timer per connection, set for the next due decision.

--- a/limpet-peer/src/main/java/org/limpetring/peer/OutboundPeer.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/OutboundPeer.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
@@ -44,7 +45,8 @@
   private @Nullable Channel channel;
   private @Nullable ConnectionWatch watch;
   private boolean connecting;
-  private boolean tickScheduled;
+  private @Nullable Future<?> nextTick;
+  private long nextTickAtMs;
   private boolean closed;
 
   OutboundPeer(
@@ -159,6 +161,10 @@
     }
     channel = null;
     watch = null;
+    if (nextTick != null) {
+      nextTick.cancel(false);
+      nextTick = null;
+    }
     PeerMetrics.CONNECTIONS.labelValues("closed").inc();
     failOpen(PeerFailure.CONNECTION_LOST);
   }
@@ -172,17 +178,25 @@
     }
   }
 
+  /** Makes sure that a tick comes when the next decision is due, and no sooner. */
   private void scheduleTick() {
-    if (watch == null || tickScheduled) {
+    if (watch == null) {
       return;
     }
-    tickScheduled = true;
-    long delayMs = Math.min(watch.nextTickMs(clock.nowMs()), settings.heartbeatMs());
-    var unused = loop.schedule(this::tick, delayMs, TimeUnit.MILLISECONDS);
+    long nowMs = clock.nowMs();
+    long delayMs = watch.nextTickMs(nowMs);
+    if (nextTick != null) {
+      if (nextTickAtMs <= nowMs + delayMs) {
+        return;
+      }
+      nextTick.cancel(false);
+    }
+    nextTickAtMs = nowMs + delayMs;
+    nextTick = loop.schedule(this::tick, delayMs, TimeUnit.MILLISECONDS);
   }
 
   private void tick() {
-    tickScheduled = false;
+    nextTick = null;
     if (watch == null || channel == null) {
       return;
     }
--- a/limpet-peer/src/test/java/org/limpetring/peer/PeerMeasurement.java
+++ b/limpet-peer/src/test/java/org/limpetring/peer/PeerMeasurement.java
@@ -148,6 +148,7 @@
     NettyPeerTransport server = answering(tls);
     NettyPeerTransport client = open(tls);
     int opened = 0;
+    rest(kind, opened);
     for (int peers : List.of(9, 27, 81, 243, 729)) {
       long startNs = SYSTEM.getProcessCpuTime();
       int before = opened;
