--- a/limpet-fleet/src/main/java/org/limpetring/fleet/Roster.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/Roster.java
@@ -2,6 +2,7 @@
 
 import java.util.Comparator;
 import java.util.List;
+import org.jspecify.annotations.Nullable;
 import org.limpetring.base.DaemonId;
 
 /** The daemons that share the control work, at one epoch; sorted by name. */
@@ -17,7 +18,24 @@
 
   /** Whether {@code daemon} is in the roster. */
   public boolean contains(DaemonId daemon) {
-    return daemons.stream().anyMatch(entry -> entry.id().equals(daemon));
+    return entry(daemon) != null;
+  }
+
+  /** The entry of {@code daemon}, or null if it is not in the roster. */
+  public @Nullable DaemonEntry entry(DaemonId daemon) {
+    int low = 0;
+    int high = daemons.size() - 1;
+    while (low <= high) {
+      int middle = (low + high) >>> 1;
+      DaemonEntry entry = daemons.get(middle);
+      int order = entry.id().compareTo(daemon);
+      if (order == 0) {
+        return entry;
+      }
+      low = order < 0 ? middle + 1 : low;
+      high = order < 0 ? high : middle - 1;
+    }
+    return null;
   }
 
   /** Names in sorted order. */
