Request driver tested with scripted upstreams; way back to a caller behind a port

Cause: what a caller receives after broken, crossed and refused tries was tested nowhere. Change: AnswerChannel between CallerAnswer and the servlet; twelve cases of tries with their whole answer or error.

--- a/limpetd/src/main/java/org/limpetring/daemon/caller/CallerAnswer.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/caller/CallerAnswer.java
@@ -1,11 +1,9 @@
 package org.limpetring.daemon.caller;
 
-import jakarta.servlet.http.HttpServletResponse;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
-import java.util.Objects;
 import java.util.Optional;
 import org.limpetring.base.RequestId;
 import org.limpetring.base.ResultCode;
@@ -38,20 +36,22 @@
   private static final int HELD_BYTES = 1_048_576;
   private static final byte[] END_EVENT = "data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8);
 
-  private final HttpServletResponse response;
+  private final AnswerChannel channel;
   private final RequestId request;
   private final boolean streamed;
   private final ByteArrayOutputStream held = new ByteArrayOutputStream();
+  private int status;
+  private String contentType = "";
   private int deliveredEvents;
   private boolean started;
   private boolean whole;
   private boolean overflowed;
 
-  CallerAnswer(HttpServletResponse response, RequestId request, boolean streamed) {
-    this.response = response;
+  CallerAnswer(AnswerChannel channel, RequestId request, boolean streamed) {
+    this.channel = channel;
     this.request = request;
     this.streamed = streamed;
-    response.setHeader(REQUEST_HEADER, request.value());
+    channel.header(REQUEST_HEADER, request.value());
   }
 
   /** Events of the stream that the caller has, not counting the end marker. */
@@ -84,28 +84,27 @@
     whole = true;
     started = true;
     if (!streamed && held.size() > 0) {
-      response.getOutputStream().write(held.toByteArray());
+      channel.write(held.toByteArray());
     }
-    response.flushBuffer();
+    channel.flush();
   }
 
   /** HTTP status of the answer. */
   int status() {
-    return response.getStatus();
+    return status;
   }
 
   /** Content type of the answer. */
   String contentType() {
-    return Objects.requireNonNullElse(response.getContentType(), "application/octet-stream");
+    return contentType;
   }
 
   /** Sends an answer that an earlier request with the same key got. */
   void replay(int status, String contentType, byte[] body) throws IOException {
-    response.setStatus(status);
-    response.setContentType(contentType);
-    response.setHeader(REPLAY_HEADER, "true");
-    response.getOutputStream().write(body);
-    response.flushBuffer();
+    begin(status, contentType);
+    channel.header(REPLAY_HEADER, "true");
+    channel.write(body);
+    channel.flush();
     started = true;
     whole = true;
   }
@@ -126,8 +125,9 @@
       return;
     }
     if (streamed) {
-      response.getOutputStream().print("event: error\ndata: " + body + "\n\n");
-      response.flushBuffer();
+      String event = "event: error\ndata: " + body + "\n\n";
+      channel.write(event.getBytes(StandardCharsets.UTF_8));
+      channel.flush();
       return;
     }
     throw new IOException("answer broken off after its first byte");
@@ -138,10 +138,15 @@
       return;
     }
     held.reset();
-    response.setStatus(status);
-    response.setContentType(contentType);
-    response.setHeader(GROUP_HEADER, group.id().value());
-    response.setHeader(UPSTREAM_HEADER, group.members().get(0).value());
+    begin(status, contentType);
+    channel.header(GROUP_HEADER, group.id().value());
+    channel.header(UPSTREAM_HEADER, group.members().get(0).value());
+  }
+
+  private void begin(int newStatus, String newContentType) {
+    status = newStatus;
+    contentType = newContentType;
+    channel.begin(newStatus, newContentType);
   }
 
   private void addPart(byte[] bytes) throws AnswerSink.CallerGoneException {
@@ -158,8 +163,8 @@
 
   private void writeEvent(byte[] bytes) throws IOException {
     started = true;
-    response.getOutputStream().write(bytes);
-    response.flushBuffer();
+    channel.write(bytes);
+    channel.flush();
     if (!Arrays.equals(bytes, END_EVENT)) {
       deliveredEvents++;
     }
@@ -171,22 +176,21 @@
       return;
     }
     started = true;
-    response.getOutputStream().write(held.toByteArray());
-    response.getOutputStream().write(bytes);
+    channel.write(held.toByteArray());
+    channel.write(bytes);
     held.reset();
     overflowed = true;
   }
 
   private void writeError(ResultCode code, String body) throws IOException {
-    response.reset();
-    response.setHeader(REQUEST_HEADER, request.value());
-    response.setStatus(code.httpStatus());
-    response.setContentType("application/json");
+    channel.reset();
+    channel.header(REQUEST_HEADER, request.value());
+    channel.begin(code.httpStatus(), "application/json");
     if (code.retry() == ResultCode.Retry.LATER) {
-      response.setIntHeader("Retry-After", RETRY_AFTER_S);
+      channel.header("Retry-After", Integer.toString(RETRY_AFTER_S));
     }
-    response.getOutputStream().write(body.getBytes(StandardCharsets.UTF_8));
-    response.flushBuffer();
+    channel.write(body.getBytes(StandardCharsets.UTF_8));
+    channel.flush();
     started = true;
     whole = true;
   }
--- a/limpetd/src/main/java/org/limpetring/daemon/caller/CallerServlet.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/caller/CallerServlet.java
@@ -43,11 +43,13 @@
     RequestId id = new RequestId(UUID.randomUUID().toString());
     try {
       CallerRequest read = read(id, request);
-      CallerAnswer answer = new CallerAnswer(response, id, read.chat().streamed());
+      CallerAnswer answer =
+          new CallerAnswer(new ServletChannel(response), id, read.chat().streamed());
       path.serve(read, answer);
     } catch (RefusedException refused) {
       Metrics.REFUSALS.labelValues(refused.code.name()).inc();
-      new CallerAnswer(response, id, false).fail(refused.code, RunState.NOT_RUN, refused.detail);
+      new CallerAnswer(new ServletChannel(response), id, false)
+          .fail(refused.code, RunState.NOT_RUN, refused.detail);
     }
   }
 
--- /dev/null
+++ b/limpetd/src/test/java/org/limpetring/daemon/caller/RequestDriverTest.java
@@ -0,0 +1,240 @@
+package org.limpetring.daemon.caller;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
+import org.junit.jupiter.params.provider.MethodSource;
+import org.limpetring.base.CallerId;
+import org.limpetring.base.FailureDomain;
+import org.limpetring.base.GroupId;
+import org.limpetring.base.HostId;
+import org.limpetring.base.ManualClock;
+import org.limpetring.base.Outcome;
+import org.limpetring.base.PoolName;
+import org.limpetring.base.RequestId;
+import org.limpetring.base.ResultCode;
+import org.limpetring.base.RouteName;
+import org.limpetring.base.RunState;
+import org.limpetring.groups.ServingGroup;
+import org.limpetring.routing.choose.GroupIndex;
+import org.limpetring.routing.request.RequestEvent;
+import org.limpetring.routing.request.RequestMachine;
+import org.limpetring.routing.request.RequestTraits;
+import org.limpetring.tables.AcceptedConfig;
+import org.limpetring.tables.EngineAdapter;
+import org.limpetring.tables.Pool;
+import org.limpetring.tables.Route;
+
+final class RequestDriverTest {
+
+  private static final Outcome WHOLE = new Outcome.Ran(ResultCode.OK, "");
+  private static final Outcome LOST = new Outcome.Unknown(ResultCode.UPSTREAM_LOST, "");
+  private static final Outcome CROSSED = new Outcome.Unknown(ResultCode.ANSWER_MISMATCH, "");
+  private static final Outcome REFUSED = new Outcome.NotRun(ResultCode.UPSTREAM_REFUSED, "");
+  private static final String WHOLE_STREAM =
+      "data: 0\n\ndata: 1\n\ndata: 2\n\ndata: 3\n\ndata: [DONE]\n\n";
+
+  private final ManualClock clock = new ManualClock(1_000);
+  private final AtomicInteger lookups = new AtomicInteger();
+  private boolean fresh = true;
+  private int goneLookups;
+
+  static Stream<Arguments> tries() {
+    return Stream.of(
+        Arguments.of(true, List.of(end(4, WHOLE)), List.of(0), "OK"),
+        Arguments.of(true, List.of(end(2, LOST), end(2, WHOLE)), List.of(0, 2), "OK"),
+        Arguments.of(true, List.of(end(0, REFUSED), end(4, WHOLE)), List.of(0, 0), "OK"),
+        Arguments.of(true, List.of(end(0, CROSSED), end(4, WHOLE)), List.of(0, 0), "OK"),
+        Arguments.of(
+            true, List.of(end(1, LOST), end(1, LOST), end(1, LOST)), List.of(0, 1, 2), "3001"),
+        Arguments.of(false, List.of(end(4, WHOLE)), List.of(0), "OK"),
+        Arguments.of(false, List.of(end(0, REFUSED), end(4, WHOLE)), List.of(0, 0), "OK"),
+        Arguments.of(false, List.of(end(0, LOST)), List.of(0), "3001"),
+        Arguments.of(false, List.of(end(2, LOST)), List.of(0), "3001"),
+        Arguments.of(false, List.of(end(0, CROSSED)), List.of(0), "3003"));
+  }
+
+  private static ScriptedEngine.Try end(int events, Outcome outcome) {
+    return new ScriptedEngine.Try(events, outcome);
+  }
+
+  @ParameterizedTest
+  @MethodSource("tries")
+  void theCallerGetsAWholeAnswerOrAnErrorThatCannotBeMistakenForOne(
+      boolean idempotent, List<ScriptedEngine.Try> script, List<Integer> offsets, String end)
+      throws IOException {
+    ScriptedEngine engine = new ScriptedEngine(script);
+    MemoryChannel channel = run(engine, idempotent);
+    assertThat(engine.resumeOffsets()).isEqualTo(offsets);
+    if (end.equals("OK")) {
+      assertThat(channel.text()).isEqualTo(WHOLE_STREAM);
+      return;
+    }
+    assertThat(channel.text()).contains("\"code\":" + end);
+    assertThat(channel.text()).contains("\"runState\":\"unknown\"");
+    assertThat(channel.text()).doesNotContain("[DONE]");
+  }
+
+  @Test
+  void aCutOffDaemonSendsNothing() throws IOException {
+    fresh = false;
+    ScriptedEngine engine = new ScriptedEngine(List.of());
+    MemoryChannel channel = run(engine, true);
+    assertThat(engine.resumeOffsets()).isEmpty();
+    assertThat(channel.status()).isEqualTo(503);
+    assertThat(channel.text()).contains("\"runState\":\"not run\"");
+  }
+
+  @Test
+  void aGroupThatIsTakenOutAfterAdmissionGetsNothing() throws IOException {
+    goneLookups = 1;
+    ScriptedEngine engine = new ScriptedEngine(List.of(end(4, WHOLE)));
+    MemoryChannel channel = run(engine, false);
+    assertThat(engine.resumeOffsets()).containsExactly(0);
+    assertThat(lookups.get()).isEqualTo(2);
+    assertThat(channel.text()).isEqualTo(WHOLE_STREAM);
+  }
+
+  private MemoryChannel run(ScriptedEngine engine, boolean idempotent) throws IOException {
+    MemoryChannel channel = new MemoryChannel();
+    CallerRequest request = request();
+    CallerAnswer answer = new CallerAnswer(channel, request.id(), true);
+    RequestTraits traits = new RequestTraits(idempotent, idempotent ? null : "key", true, 3);
+    new RequestDriver(
+            clock,
+            engine,
+            new AnyGroup(),
+            new AlwaysGranted(),
+            new FixedState(),
+            new RequestMachine(traits, nowMs -> true),
+            request,
+            answer,
+            route(idempotent),
+            pool())
+        .run();
+    return channel;
+  }
+
+  private CallerRequest request() {
+    return new CallerRequest(
+        new RequestId("r1"),
+        new CallerId("planning"),
+        "POST",
+        "/v1/chat/completions",
+        "application/json",
+        new byte[] {'{', '}'},
+        new ChatBody("m", true, 4),
+        "key",
+        clock.nowMs(),
+        0);
+  }
+
+  private static Route route(boolean idempotent) {
+    return new Route(
+        new RouteName("r"),
+        Set.of(),
+        "/",
+        Set.of(),
+        null,
+        new PoolName("p"),
+        idempotent,
+        5,
+        60_000);
+  }
+
+  private static Pool pool() {
+    return new Pool(
+        new PoolName("p"),
+        "supplier",
+        EngineAdapter.CHAT_ENGINE,
+        "m",
+        List.of(new HostId("h")),
+        1,
+        1,
+        0,
+        16,
+        2,
+        true);
+  }
+
+  /** Admits each try to a group that was not tried yet. */
+  private static final class AnyGroup implements Admission {
+
+    @Override
+    public Result admit(Ask ask) {
+      return new Result.Admitted(
+          new ServingGroup(
+              new GroupId("g" + ask.excluded().size()),
+              new PoolName("p"),
+              1,
+              List.of(new HostId("h")),
+              "127.0.0.1:1",
+              new FailureDomain("north"),
+              "i",
+              false,
+              0));
+    }
+
+    @Override
+    public void release(ServingGroup group, long tookMs, boolean completed) {}
+  }
+
+  private static final class AlwaysGranted implements Claims {
+
+    @Override
+    public RequestEvent claim(String key, CallerRequest request, long deadlineAtMs) {
+      return new RequestEvent.ClaimGranted();
+    }
+
+    @Override
+    public void settle(String key, CallerRequest request, RunState runState, CallerAnswer answer) {}
+
+    @Override
+    public void replay(String key, CallerRequest request, CallerAnswer answer) {}
+  }
+
+  private final class FixedState implements DaemonState {
+
+    @Override
+    public AcceptedConfig config() {
+      return AcceptedConfig.NONE;
+    }
+
+    @Override
+    public GroupIndex groups() {
+      return GroupIndex.EMPTY;
+    }
+
+    @Override
+    public boolean isFresh(long nowMs) {
+      return fresh;
+    }
+
+    @Override
+    public boolean serves(ServingGroup group, long nowMs) {
+      return lookups.incrementAndGet() > goneLookups;
+    }
+
+    @Override
+    public boolean isReady() {
+      return true;
+    }
+
+    @Override
+    public boolean isLeaving() {
+      return false;
+    }
+
+    @Override
+    public boolean isStopping() {
+      return false;
+    }
+  }
+}
--- /dev/null
+++ b/limpetd/src/test/java/org/limpetring/daemon/caller/ScriptedEngine.java
@@ -0,0 +1,70 @@
+package org.limpetring.daemon.caller;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import org.limpetring.base.Outcome;
+import org.limpetring.base.ResultCode;
+import org.limpetring.engine.AnswerSink;
+import org.limpetring.engine.EnginePort;
+import org.limpetring.engine.EngineRequest;
+import org.limpetring.groups.MemberOrder;
+import org.limpetring.groups.OrderResult;
+import org.limpetring.groups.ReportResult;
+
+/** Upstreams whose tries end as scripted; notes what each try was sent. */
+final class ScriptedEngine implements EnginePort {
+
+  /**
+   * One try.
+   *
+   * @param events events that it delivers before it ends
+   */
+  record Try(int events, Outcome outcome) {}
+
+  private final Deque<Try> script;
+  private final List<Integer> resumeOffsets = new ArrayList<>();
+
+  ScriptedEngine(List<Try> script) {
+    this.script = new ArrayDeque<>(script);
+  }
+
+  /** Resume offset of each try so far. */
+  List<Integer> resumeOffsets() {
+    return resumeOffsets;
+  }
+
+  @Override
+  public Outcome send(String address, EngineRequest request, AnswerSink sink) {
+    resumeOffsets.add(request.resumeOffset());
+    Try next = script.removeFirst();
+    if (next.outcome() instanceof Outcome.NotRun) {
+      return next.outcome();
+    }
+    try {
+      sink.begin(200, "text/event-stream");
+      for (int event = 0; event < next.events(); event++) {
+        int index = request.resumeOffset() + event;
+        sink.part(("data: " + index + "\n\n").getBytes(StandardCharsets.UTF_8));
+      }
+      if (next.outcome().code() == ResultCode.OK && request.streamed()) {
+        sink.part("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8));
+      }
+      return next.outcome();
+    } catch (AnswerSink.CallerGoneException gone) {
+      return new Outcome.Unknown(ResultCode.CANCELLED, "caller left");
+    }
+  }
+
+  @Override
+  public ReportResult report(String address) {
+    return new ReportResult.Missing("not scripted");
+  }
+
+  @Override
+  public OrderResult order(String address, MemberOrder order) {
+    return new OrderResult.Unknown("not scripted");
+  }
+}
