Prove the promises of groups by random histories; age observations by their statement

Cause: nothing yet showed that a group serves only while it is whole, and a process that had been paused counted observations from its receive buffer as new (found by the history test: a group was served 2,250 ms after a member last confirmed it, bound 2,000 ms). Change: histories of faults over three controllers and fourteen engines, judged from outside; DelayEstimate ages an observation from when it was stated; plans are read on contradiction instead of before each round.

--- a/limpet-groups/src/main/java/org/limpetring/groups/control/ControlSettings.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/control/ControlSettings.java
@@ -23,5 +23,5 @@
 
   /** Settings of the daemon. */
   public static final ControlSettings DEFAULT =
-      new ControlSettings(500, 2_000, 1_000, 1_000, 500, 2_000, PlannerPolicy.DEFAULT);
+      new ControlSettings(500, 2_000, 1_000, 2_000, 500, 2_000, PlannerPolicy.DEFAULT);
 }
--- a/limpet-groups/src/main/java/org/limpetring/groups/control/GroupController.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/control/GroupController.java
@@ -19,8 +19,10 @@
 import org.limpetring.base.GroupId;
 import org.limpetring.base.HostId;
 import org.limpetring.groups.MemberPort;
+import org.limpetring.groups.MemberReport;
 import org.limpetring.groups.Plan;
 import org.limpetring.groups.PlanCodec;
+import org.limpetring.groups.PlannedGroup;
 import org.limpetring.groups.ServingGroup;
 import org.limpetring.groups.ServingView;
 import org.limpetring.groups.monitor.GroupMonitor;
@@ -88,7 +90,7 @@
     this.merge = new ObservationMerge(settings.freshMs());
     this.round = new PlannerRound(clock, planStore, plans, members, inputs, settings);
     this.planExecutor = planExecutor;
-    this.own = new AtomicReference<>(new Observation(self, 0, List.of()));
+    this.own = new AtomicReference<>(new Observation(self, 0, 0, List.of()));
   }
 
   /** Does what is due now. */
@@ -195,9 +197,9 @@
     if (isDue || !judgements(observed).equals(judgements(published))) {
       published = observed;
       publishedMs = nowMs;
-      own.set(new Observation(self, observation().version() + 1, observed));
+      own.set(new Observation(self, observation().version() + 1, nowMs, observed));
     }
-    merge.onObservation(observation(), publishedMs);
+    merge.onObservation(observation(), nowMs);
   }
 
   private static List<String> judgements(List<ObservedGroup> observed) {
@@ -226,7 +228,7 @@
       return;
     }
     long nowMs = clock.nowMs();
-    boolean readsPlans = nowMs - planReadMs >= settings.planReadMs();
+    boolean readsPlans = nowMs - planReadMs >= settings.planReadMs() || isPlanOutdated();
     planReadMs = readsPlans ? nowMs : planReadMs;
     ReportBook reports = monitor.book().copy();
     Set<GroupId> serving =
@@ -245,6 +247,21 @@
         });
   }
 
+  /** Whether an upstream reports a higher epoch than the known plan of its group. */
+  private boolean isPlanOutdated() {
+    for (Plan plan : plans.all()) {
+      for (PlannedGroup group : plan.groups()) {
+        for (HostId member : group.members()) {
+          @Nullable MemberReport report = monitor.book().status(member).report();
+          if (report != null && report.epoch() > plan.epoch()) {
+            return true;
+          }
+        }
+      }
+    }
+    return false;
+  }
+
   private List<PlannerRound.Domain> plannedDomains() {
     return topology.domains().stream()
         .filter(inputs::mayPlan)
--- a/limpet-groups/src/main/java/org/limpetring/groups/control/PlanCache.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/control/PlanCache.java
@@ -26,6 +26,11 @@
     plans.put(plan.plan().domain(), plan);
   }
 
+  /** Newest known plan of one domain, or null before the first. */
+  synchronized @Nullable StoredPlan get(FabricDomain domain) {
+    return plans.get(domain);
+  }
+
   /** All known plans, sorted by domain. */
   synchronized List<Plan> all() {
     return plans.values().stream().map(StoredPlan::plan).toList();
--- a/limpet-groups/src/main/java/org/limpetring/groups/control/PlannerRound.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/control/PlannerRound.java
@@ -30,9 +30,9 @@
 /**
  * One round of planning and orders for one fabric domain.
  *
- * <p>Reads the plan, decides, writes conditionally, then sends orders. Right before each order the
- * role and the clock are checked; for engines that ignore fencing numbers the plan's version is
- * read again. Runs on one thread.
+ * <p>Decides from the newest known plan, writes conditionally, then sends orders. Right before each
+ * order the role and the clock are checked; for engines that ignore fencing numbers the plan's
+ * version is read again. Runs on one thread.
  */
 final class PlannerRound {
 
@@ -67,17 +67,18 @@
       return;
     }
     long startedMs = clock.nowMs();
-    @Nullable StoredPlan stored = store.read(domain.name());
+    @Nullable StoredPlan stored = cache.get(domain.name());
     if (stored == null) {
+      refresh(domain.name());
       return;
     }
-    cache.offer(stored);
     Deciders decide = deciders.computeIfAbsent(domain.name(), name -> new Deciders(settings));
     PlannerDecision decision =
         decide.planner.plan(input(stored.plan(), config, reports, serving), startedMs);
     if (decision instanceof PlannerDecision.Replace replace) {
       stored = store.replace(stored, replace.plan());
       if (stored == null) {
+        refresh(domain.name());
         return;
       }
       cache.offer(stored);
@@ -85,6 +86,13 @@
     sendOrders(domain, stored, reports, decide, startedMs);
   }
 
+  private void refresh(FabricDomain domain) {
+    @Nullable StoredPlan actual = store.read(domain);
+    if (actual != null) {
+      cache.offer(actual);
+    }
+  }
+
   /** Orders sent since the last call; from any thread. */
   List<SentOrder> takeSent() {
     List<SentOrder> taken = new ArrayList<>();
@@ -124,7 +132,11 @@
   private boolean maySend(Domain domain, StoredPlan stored, MemberOrder order, long startedMs) {
     if (!domain.fenced().contains(order.host())) {
       @Nullable StoredPlan actual = store.read(domain.name());
-      if (actual == null || actual.version() != stored.version()) {
+      if (actual == null) {
+        return withhold("platform unavailable");
+      }
+      cache.offer(actual);
+      if (actual.version() != stored.version()) {
         return withhold("plan changed");
       }
     }
--- a/limpet-groups/src/main/java/org/limpetring/groups/control/Topology.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/control/Topology.java
@@ -5,6 +5,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeSet;
 import org.jspecify.annotations.Nullable;
 import org.limpetring.base.FabricDomain;
@@ -64,8 +65,8 @@
   }
 
   /** Fabric domains that have a host in a pool that takes orders. */
-  TreeSet<FabricDomain> domains() {
-    TreeSet<FabricDomain> domains = new TreeSet<>();
+  Set<FabricDomain> domains() {
+    Set<FabricDomain> domains = new TreeSet<>();
     poolOf.forEach(
         (host, pool) -> {
           @Nullable HostEntry entry = known.get(host);
--- a/limpet-groups/src/main/java/org/limpetring/groups/monitor/ObservationCodec.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/monitor/ObservationCodec.java
@@ -39,6 +39,7 @@
     ObjectNode root = MAPPER.createObjectNode();
     root.put("o", observation.observer().value());
     root.put("v", observation.version());
+    root.put("n", observation.sentMs());
     ArrayNode groups = root.putArray("g");
     for (ObservedGroup group : observation.groups()) {
       encodeGroup(groups.addObject(), group);
@@ -57,7 +58,11 @@
     for (JsonNode group : root.path("g")) {
       groups.add(decodeGroup(group));
     }
-    return new Observation(new DaemonId(root.path("o").asText()), root.path("v").asLong(), groups);
+    return new Observation(
+        new DaemonId(root.path("o").asText()),
+        root.path("v").asLong(),
+        root.path("n").asLong(),
+        groups);
   }
 
   private static JsonNode parse(byte[] bytes) {
--- a/limpet-groups/src/main/java/org/limpetring/groups/monitor/ObservationMerge.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/monitor/ObservationMerge.java
@@ -17,12 +17,14 @@
  *
  * <p>The newest epoch goes before older ones. Among fresh observations of that epoch one
  * contradiction closes the group; silence at one observer does not, as long as another has a
- * confirmation not older than the freshness bound. Not thread-safe.
+ * confirmation not older than the freshness bound. An observation's age counts from when it was
+ * stated. Not thread-safe.
  */
 public final class ObservationMerge {
 
   private final long freshMs;
   private final Map<DaemonId, Held> held = new HashMap<>();
+  private final Map<DaemonId, DelayEstimate> delaysByObserver = new HashMap<>();
 
   /** Uses confirmations whose evidence is at most {@code freshMs} old. */
   public ObservationMerge(long freshMs) {
@@ -35,12 +37,16 @@
     if (before != null && before.observation().version() >= observation.version()) {
       return;
     }
-    held.put(observation.observer(), new Held(observation, nowMs));
+    DelayEstimate delays =
+        delaysByObserver.computeIfAbsent(observation.observer(), id -> new DelayEstimate());
+    long statedMs = nowMs - delays.delayMs(observation.sentMs(), nowMs);
+    held.put(observation.observer(), new Held(observation, statedMs));
   }
 
   /** Forgets an observer, for instance one that left the roster. */
   public void forget(DaemonId observer) {
     held.remove(observer);
+    delaysByObserver.remove(observer);
   }
 
   /** Observers heard of so far. */
@@ -52,7 +58,7 @@
   public List<MergedGroup> merge(long nowMs) {
     Map<GroupId, List<Aged>> byGroup = new TreeMap<>();
     for (Held entry : held.values()) {
-      long sinceMs = nowMs - entry.receivedMs();
+      long sinceMs = nowMs - entry.statedMs();
       for (ObservedGroup observed : entry.observation().groups()) {
         long ageMs = sinceMs + observed.ageMs();
         if (sinceMs <= freshMs) {
@@ -91,7 +97,7 @@
     return aged.min(Comparator.comparingLong(Aged::ageMs)).orElseThrow();
   }
 
-  private record Held(Observation observation, long receivedMs) {}
+  private record Held(Observation observation, long statedMs) {}
 
   private record Aged(ObservedGroup observed, long ageMs) {}
 }
--- a/limpet-groups/src/main/java/org/limpetring/groups/plan/DomainHosts.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/DomainHosts.java
@@ -41,7 +41,7 @@
     if (status.missingMs(nowMs) >= policy.patienceMs()) {
       return HostCondition.LOST;
     }
-    if (input.marks().outHosts().contains(host) || entry != null && entry.leaving()) {
+    if (input.marks().outHosts().contains(host) || (entry != null && entry.leaving())) {
       return HostCondition.RETIRING;
     }
     @Nullable MemberReport report = freshReport(host);
--- a/limpet-groups/src/main/java/org/limpetring/groups/plan/GroupPlanner.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/GroupPlanner.java
@@ -5,6 +5,7 @@
 import java.util.stream.Collectors;
 import org.limpetring.base.GroupId;
 import org.limpetring.base.PoolName;
+import org.limpetring.groups.MemberReport;
 import org.limpetring.groups.PlannedGroup;
 import org.limpetring.groups.PlannedGroup.State;
 import org.limpetring.tables.Pool;
@@ -53,18 +54,20 @@
       boolean isOutranked =
           group.members().stream()
               .map(hosts::lastReport)
-              .anyMatch(
-                  report ->
-                      report != null
-                          && (report.epoch() > group.epoch()
-                              || report.epoch() == group.epoch()
-                                  && !group.id().equals(report.group())));
+              .anyMatch(report -> report != null && outranks(report, group));
       if (isOutranked) {
         draft.renew(group, "a member has obeyed a higher fencing number");
       }
     }
   }
 
+  private static boolean outranks(MemberReport report, PlannedGroup group) {
+    if (report.epoch() == group.epoch()) {
+      return !group.id().equals(report.group());
+    }
+    return report.epoch() > group.epoch();
+  }
+
   /** Memory that bounds the pace of planned changes. */
   static final class Pace {
 
--- a/limpet-groups/src/main/java/org/limpetring/groups/plan/PoolFormation.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/PoolFormation.java
@@ -70,7 +70,7 @@
       return;
     }
     if (!fitsPool(group)) {
-      boolean mayStop = group.state() == State.DRAINING || noneDraining(draft) && tryMove();
+      boolean mayStop = group.state() == State.DRAINING || (noneDraining(draft) && tryMove());
       if (mayStop) {
         stop.retire(draft, group, "pool has changed");
       }
--- /dev/null
+++ b/limpet-groups/src/test/java/org/limpetring/groups/world/FakeEngine.java
@@ -0,0 +1,151 @@
+package org.limpetring.groups.world;
+
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.base.GroupId;
+import org.limpetring.base.HostId;
+import org.limpetring.groups.MemberOrder;
+import org.limpetring.groups.MemberReport;
+import org.limpetring.groups.OrderResult;
+
+/** Engine on one host: obeys orders, loads weights at a pace, loses everything on a restart. */
+final class FakeEngine {
+
+  final HostId host;
+  final boolean checksFencing;
+  boolean isUp = true;
+  boolean isPaused;
+  boolean isDark;
+  boolean isLeaving;
+  int running;
+  int cut;
+  @Nullable GroupId group;
+  long epoch;
+  private boolean drains;
+  private String model = "";
+  private List<HostId> members = List.of();
+  private int incarnation;
+  private final Set<String> heldModels = new HashSet<>();
+  private double rejoinLeftMs;
+  private double loadLeftMs;
+
+  FakeEngine(HostId host, boolean checksFencing) {
+    this.host = host;
+    this.checksFencing = checksFencing;
+  }
+
+  boolean answers() {
+    return isUp && !isPaused && !isDark;
+  }
+
+  boolean isReady() {
+    return group != null && loadLeftMs <= 0 && rejoinLeftMs <= 0;
+  }
+
+  boolean isLoading() {
+    return isUp && group != null && loadLeftMs > 0;
+  }
+
+  /** Whether the engine would confirm this group at this moment. */
+  boolean confirms(GroupId id, long atEpoch) {
+    return answers() && isReady() && id.equals(group) && epoch == atEpoch && !isLeaving;
+  }
+
+  String incarnation() {
+    return host + "#" + incarnation;
+  }
+
+  OrderResult order(MemberOrder order, FakeWeights weights) {
+    if (checksFencing && order.epoch() < epoch) {
+      return new OrderResult.Fenced(epoch);
+    }
+    epoch = order.epoch();
+    switch (order.kind()) {
+      case JOIN -> join(order, weights);
+      case DRAIN -> drains = true;
+      case RELEASE -> leaveGroup();
+    }
+    return new OrderResult.Taken();
+  }
+
+  private void join(MemberOrder order, FakeWeights weights) {
+    if (!order.group().equals(group) || !order.members().equals(members)) {
+      cutRunning();
+    }
+    drains = false;
+    group = order.group();
+    members = order.members();
+    model = order.model();
+    rejoinLeftMs = weights.rejoinMs;
+    boolean continuesLoad = loadLeftMs > 0;
+    loadLeftMs = heldModels.contains(model) ? 0 : continuesLoad ? loadLeftMs : weights.loadMs;
+  }
+
+  private void leaveGroup() {
+    cutRunning();
+    group = null;
+    members = List.of();
+    drains = false;
+    loadLeftMs = 0;
+  }
+
+  private void cutRunning() {
+    cut += running;
+    running = 0;
+  }
+
+  /** Advances loading by {@code stepMs}, of which weights arrive at the given share of the rate. */
+  void advance(long stepMs, double rateShare) {
+    if (!isUp || group == null) {
+      return;
+    }
+    if (loadLeftMs > 0) {
+      loadLeftMs -= stepMs * rateShare;
+      if (loadLeftMs <= 0) {
+        heldModels.add(model);
+      }
+      return;
+    }
+    rejoinLeftMs -= stepMs;
+  }
+
+  void crash(boolean losesWeights) {
+    isUp = false;
+    running = 0;
+    group = null;
+    members = List.of();
+    epoch = 0;
+    loadLeftMs = 0;
+    incarnation++;
+    if (losesWeights) {
+      heldModels.clear();
+    }
+  }
+
+  /** Restarts within one moment and takes its old place by itself, as some engines do. */
+  void bounce() {
+    incarnation++;
+    running = 0;
+    rejoinLeftMs = 0;
+  }
+
+  MemberReport report() {
+    return new MemberReport(
+        host,
+        incarnation(),
+        group,
+        epoch,
+        isReady(),
+        isReady() && !drains,
+        isLeaving,
+        running,
+        0,
+        List.copyOf(heldModels));
+  }
+
+  void hold(String heldModel) {
+    heldModels.add(heldModel);
+  }
+}
--- /dev/null
+++ b/limpet-groups/src/test/java/org/limpetring/groups/world/FakeWeights.java
@@ -0,0 +1,30 @@
+package org.limpetring.groups.world;
+
+import java.util.List;
+import org.limpetring.platform.WeightStore;
+
+/** Weight store whose rate is shared by the hosts that load. */
+final class FakeWeights {
+
+  static final String MODEL = "m1";
+
+  final long loadMs;
+  final long rejoinMs;
+  final int loadsAtOnce;
+
+  FakeWeights(long loadMs, long rejoinMs, int loadsAtOnce) {
+    this.loadMs = loadMs;
+    this.rejoinMs = rejoinMs;
+    this.loadsAtOnce = loadsAtOnce;
+  }
+
+  /** Part of the full rate that each of {@code loading} hosts gets. */
+  double share(int loading) {
+    return loading <= loadsAtOnce ? 1.0 : (double) loadsAtOnce / loading;
+  }
+
+  WeightStore.Result.Limits limits() {
+    return new WeightStore.Result.Limits(
+        loadsAtOnce, List.of(new WeightStore.ModelWeights(MODEL, "1", loadMs)));
+  }
+}
--- /dev/null
+++ b/limpet-groups/src/test/java/org/limpetring/groups/world/GroupWorld.java
@@ -0,0 +1,255 @@
+package org.limpetring.groups.world;
+
+import static com.google.common.truth.Truth.assertWithMessage;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import org.limpetring.base.FabricDomain;
+import org.limpetring.base.FailureDomain;
+import org.limpetring.base.GroupId;
+import org.limpetring.base.HostId;
+import org.limpetring.base.Invariant;
+import org.limpetring.base.ManualClock;
+import org.limpetring.base.Metrics;
+import org.limpetring.base.PoolName;
+import org.limpetring.groups.Plan;
+import org.limpetring.groups.PlanCodec;
+import org.limpetring.groups.PlannedGroup;
+import org.limpetring.groups.ServingGroup;
+import org.limpetring.groups.monitor.Observation;
+import org.limpetring.groups.monitor.ObservationCodec;
+import org.limpetring.platform.HostEntry;
+import org.limpetring.platform.ListResult;
+import org.limpetring.platform.memory.MemoryObjectStore;
+import org.limpetring.tables.AcceptedConfig;
+import org.limpetring.tables.EngineAdapter;
+import org.limpetring.tables.Pool;
+import org.limpetring.tables.PoolTable;
+import org.limpetring.tables.RouteTable;
+import org.limpetring.tables.ServiceMarks;
+
+/** Daemons and engines under one clock, with the truth that the daemons' judgement must match. */
+final class GroupWorld {
+
+  static final long STEP_MS = 250;
+  static final PoolName POOL = new PoolName("pool");
+
+  final ManualClock clock = new ManualClock(1_000_000);
+  final MemoryObjectStore store = new MemoryObjectStore();
+  final WorldSize size;
+  final FakeWeights weights;
+  final List<FakeDaemon> daemons = new ArrayList<>();
+  final Map<HostId, FakeEngine> engines = new LinkedHashMap<>();
+  final List<HostEntry> hosts = new ArrayList<>();
+  final List<FabricDomain> domains = new ArrayList<>();
+  AcceptedConfig config = AcceptedConfig.NONE;
+  private final Map<Truth, Long> confirmedMs = new HashMap<>();
+  private final Map<HostId, HostEntry> entries = new HashMap<>();
+  private final Map<String, FakeEngine> byAddress = new HashMap<>();
+  private List<PlannedGroup> planned = List.of();
+  private long plannedRevision = -1;
+  private final double violationsBefore = violations();
+
+  GroupWorld(WorldSize size) {
+    this.size = size;
+    this.weights = size.weights();
+    for (int failure = 0; failure < size.failureDomains(); failure++) {
+      for (int fabric = 0; fabric < size.fabricDomainsEach(); fabric++) {
+        addDomain(failure, fabric);
+      }
+    }
+    setConfig(size.groupsWanted(), ServiceMarks.NONE);
+    for (int index = 0; index < size.daemons(); index++) {
+      FakeDaemon daemon = new FakeDaemon(this, index, size.settings());
+      daemon.hosts = List.copyOf(hosts);
+      daemons.add(daemon);
+    }
+    for (int index = 0; index < domains.size(); index++) {
+      daemons.get(index % daemons.size()).planned.add(domains.get(index));
+    }
+  }
+
+  private void addDomain(int failure, int fabric) {
+    FabricDomain domain = new FabricDomain("r" + failure + "-" + fabric);
+    domains.add(domain);
+    for (int number = 0; number < size.hostsEach(); number++) {
+      HostId host = new HostId("h" + failure + "-" + fabric + "-" + number);
+      String ip = "10." + failure + "." + fabric + "." + number;
+      hosts.add(new HostEntry(host, ip, new FailureDomain("z" + failure), domain, false, 4));
+      FakeEngine engine = new FakeEngine(host, size.checksFencing());
+      engines.put(host, engine);
+      byAddress.put(ip + ":80", engine);
+      entries.put(host, hosts.get(hosts.size() - 1));
+    }
+  }
+
+  /** Puts a configuration in force at every daemon. */
+  void setConfig(int groupsWanted, ServiceMarks marks) {
+    Pool pool =
+        new Pool(
+            POOL,
+            "s",
+            EngineAdapter.CHAT_ENGINE,
+            FakeWeights.MODEL,
+            List.copyOf(engines.keySet()),
+            80,
+            size.groupSize(),
+            groupsWanted,
+            8,
+            1,
+            size.checksFencing());
+    config =
+        new AcceptedConfig(
+            config.generation() + 1, 0, RouteTable.EMPTY, new PoolTable(List.of(pool)), marks);
+    daemons.forEach(daemon -> daemon.config = config);
+  }
+
+  FakeEngine engineAt(String address) {
+    return Objects.requireNonNull(byAddress.get(address), address);
+  }
+
+  FakeEngine engine(HostId host) {
+    return Objects.requireNonNull(engines.get(host));
+  }
+
+  List<FakeEngine> engineList() {
+    return List.copyOf(engines.values());
+  }
+
+  /** Two daemons observe each host. */
+  boolean isObserver(int daemon, HostId host) {
+    int first = Math.floorMod(host.hashCode(), daemons.size());
+    return daemon == first || daemon == (first + 1) % daemons.size();
+  }
+
+  void spread(FakeDaemon from, Observation observation) {
+    Observation copy = ObservationCodec.decode(ObservationCodec.encode(observation));
+    for (FakeDaemon daemon : daemons) {
+      if (daemon != from && !daemon.parted.contains(from)) {
+        daemon.controller.onObservation(copy);
+      }
+    }
+  }
+
+  /** Moves time by one step, ticks every daemon that runs and checks the promises. */
+  void step() {
+    clock.advance(STEP_MS);
+    int loading = (int) engines.values().stream().filter(FakeEngine::isLoading).count();
+    double share = weights.share(loading);
+    engines.values().forEach(engine -> engine.advance(STEP_MS, share));
+    noteTruth();
+    for (FakeDaemon daemon : daemons) {
+      if (!daemon.isPaused) {
+        daemon.tick();
+      }
+      noteTruth();
+    }
+    check();
+  }
+
+  void steps(int count) {
+    for (int done = 0; done < count; done++) {
+      step();
+    }
+  }
+
+  /** Remembers when each engine last would have confirmed its group. */
+  private void noteTruth() {
+    for (FakeEngine engine : engines.values()) {
+      GroupId group = engine.group;
+      if (group != null && engine.confirms(group, engine.epoch)) {
+        confirmedMs.put(new Truth(engine.incarnation(), group, engine.epoch), clock.nowMs());
+      }
+    }
+  }
+
+  /** The promises, judged from outside; paused daemons count, as they may wake at any time. */
+  void check() {
+    long nowMs = clock.nowMs();
+    for (FakeDaemon daemon : daemons) {
+      for (ServingGroup group : daemon.controller.serving()) {
+        checkWhole(daemon, group, nowMs);
+        checkInService(daemon, group);
+      }
+    }
+    checkPlans();
+    assertWithMessage("violated invariants").that(violations() - violationsBefore).isEqualTo(0.0);
+  }
+
+  private void checkWhole(FakeDaemon daemon, ServingGroup group, long nowMs) {
+    assertWithMessage("size of " + group).that(group.members()).hasSize(size.groupSize());
+    String[] incarnations = group.incarnation().split("\\+");
+    for (int rank = 0; rank < group.members().size(); rank++) {
+      HostId member = group.members().get(rank);
+      long lastMs =
+          confirmedMs.getOrDefault(
+              new Truth(incarnations[rank], group.id(), group.epoch()), Long.MIN_VALUE / 2);
+      assertWithMessage(
+              "%s serves %s, but %s has not confirmed it for ms", daemon.id, group, member)
+          .that(nowMs - lastMs)
+          .isAtMost(size.settings().freshMs());
+    }
+  }
+
+  private void checkInService(FakeDaemon daemon, ServingGroup group) {
+    if (daemon.isPaused) {
+      return;
+    }
+    for (HostId member : group.members()) {
+      HostEntry entry = Objects.requireNonNull(entries.get(member));
+      assertWithMessage("%s serves %s, which is out", daemon.id, group)
+          .that(daemon.config.marks().isOut(member, entry.failureDomain()))
+          .isFalse();
+    }
+  }
+
+  private void checkPlans() {
+    Set<HostId> seen = new HashSet<>();
+    for (PlannedGroup group : plannedGroups()) {
+      for (HostId member : group.members()) {
+        assertWithMessage("%s is in two groups", member).that(seen.add(member)).isTrue();
+      }
+    }
+  }
+
+  List<PlannedGroup> plannedGroups() {
+    ListResult.Listed listed = (ListResult.Listed) store.list(PlanCodec.KEY_PREFIX);
+    if (listed.revision() == plannedRevision) {
+      return planned;
+    }
+    List<PlannedGroup> groups = new ArrayList<>();
+    for (var object : listed.objects()) {
+      Plan plan = PlanCodec.decode(object.value());
+      groups.addAll(plan.groups());
+    }
+    planned = groups;
+    plannedRevision = listed.revision();
+    return groups;
+  }
+
+  /** Distinct groups that at least one running daemon serves. */
+  Set<GroupId> serving() {
+    Set<GroupId> serving = new HashSet<>();
+    for (FakeDaemon daemon : daemons) {
+      daemon.controller.serving().forEach(group -> serving.add(group.id()));
+    }
+    return serving;
+  }
+
+  /** Incarnation of a host that once confirmed a group at an epoch. */
+  private record Truth(String incarnation, GroupId group, long epoch) {}
+
+  private static double violations() {
+    double sum = 0;
+    for (Invariant invariant : Invariant.values()) {
+      sum += Metrics.INVARIANT_VIOLATIONS.labelValues(invariant.name()).get();
+    }
+    return sum;
+  }
+}
