--- a/limpet-load/src/main/java/org/limpetring/load/LimpetLoad.java
+++ b/limpet-load/src/main/java/org/limpetring/load/LimpetLoad.java
@@ -56,7 +56,8 @@
       if (file == null) {
         throw new ParseException("--experiment FILE is missing");
       }
-      Report report = runExperiment(Json.readFile(Path.of(file), Experiment.class));
+      Experiment experiment = Json.readFile(Path.of(file), Experiment.class);
+      Report report = runExperiment(experiment, LimpetLoad::askForSignal);
       write(report, Path.of(line.getOptionValue("out", ".")));
       return report.pass() ? 0 : EXIT_BROKEN_PROMISE;
     } catch (ParseException mistake) {
@@ -71,8 +72,15 @@
     }
   }
 
+  /** Asks the script that started the processes, which reads this program's output. */
+  private static void askForSignal(String signal, String process) {
+    System.out.println("SIGNAL " + signal + " " + process);
+    System.out.flush();
+  }
+
   /** Runs {@code experiment} against the processes that it names. */
-  static Report runExperiment(Experiment experiment) throws IOException, InterruptedException {
+  static Report runExperiment(Experiment experiment, SignalSender signals)
+      throws IOException, InterruptedException {
     try (CloseableHttpClient callerClient = HttpClients.forCallers();
         CloseableHttpClient controlClient = HttpClients.forControl();
         HttpPlatformClient platform =
@@ -82,7 +90,7 @@
       }
       StandinClient standin = new StandinClient(controlClient, experiment.standin());
       StepRunner steps =
-          new StepRunner(standin, new HttpObjectStore(platform), hosts.hosts(), System.out);
+          new StepRunner(standin, new HttpObjectStore(platform), hosts.hosts(), signals);
       Caller caller = new Caller(callerClient, experiment.daemons(), experiment.tries());
       return new ExperimentRun(experiment, caller, standin, steps, System.out).run();
     }
--- /dev/null
+++ b/limpet-load/src/main/java/org/limpetring/load/SignalSender.java
@@ -0,0 +1,11 @@
+package org.limpetring.load;
+
+import java.io.IOException;
+
+/** Sends a signal to a process of the system under test. */
+@FunctionalInterface
+interface SignalSender {
+
+  /** Sends {@code signal}, such as {@code KILL}, to the process that is called {@code process}. */
+  void send(String signal, String process) throws IOException;
+}
--- a/limpet-load/src/main/java/org/limpetring/load/StepRunner.java
+++ b/limpet-load/src/main/java/org/limpetring/load/StepRunner.java
@@ -1,7 +1,6 @@
 package org.limpetring.load;
 
 import java.io.IOException;
-import java.io.PrintStream;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.List;
@@ -24,15 +23,16 @@
   private final StandinClient standin;
   private final ObjectStore store;
   private final List<HostEntry> hosts;
-  private final PrintStream out;
+  private final SignalSender signals;
   private final List<OutWindow> windows = new ArrayList<>();
   private final List<Mark> marks = new ArrayList<>();
 
-  StepRunner(StandinClient standin, ObjectStore store, List<HostEntry> hosts, PrintStream out) {
+  StepRunner(
+      StandinClient standin, ObjectStore store, List<HostEntry> hosts, SignalSender signals) {
     this.standin = standin;
     this.store = store;
     this.hosts = List.copyOf(hosts);
-    this.out = out;
+    this.signals = signals;
   }
 
   /** Performs one act at {@code atMs} after the start of the first phase. */
@@ -41,8 +41,7 @@
     if (step.fault() != null) {
       standin.apply(step.fault());
     } else if (step.signal() != null) {
-      out.println("SIGNAL " + step.signal() + " " + step.process());
-      out.flush();
+      signals.send(step.signal(), String.valueOf(step.process()));
     } else if (step.out() != null) {
       takeOut(step.out());
     } else if (step.in() != null) {
--- a/limpet-load/src/main/java/org/limpetring/load/call/Caller.java
+++ b/limpet-load/src/main/java/org/limpetring/load/call/Caller.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.net.ConnectException;
+import java.net.URI;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Locale;
@@ -18,6 +19,7 @@
 import org.apache.hc.core5.http.HttpEntity;
 import org.apache.hc.core5.http.NoHttpResponseException;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
+import org.jspecify.annotations.Nullable;
 import org.limpetring.base.Clock;
 import org.limpetring.base.RunState;
 import org.limpetring.load.schedule.Arrival;
@@ -127,7 +129,7 @@
     Experiment.Form form = arrival.kind().form();
     String method = form == Experiment.Form.READ ? "GET" : "POST";
     HttpUriRequestBase request =
-        new HttpUriRequestBase(method, java.net.URI.create(daemon + content.path()));
+        new HttpUriRequestBase(method, URI.create(daemon + content.path()));
     request.setHeader("Authorization", "Bearer " + arrival.team().key());
     if (arrival.kind().deadlineMs() > 0) {
       request.setHeader("X-Deadline-Ms", Long.toString(arrival.kind().deadlineMs()));
@@ -173,13 +175,10 @@
     }
 
     private Attempt error(JsonNode body) {
-      String state = label(body.path("class").asText());
-      RunState runState =
-          switch (state) {
-            case "NOT_RUN" -> RunState.NOT_RUN;
-            case "RAN" -> RunState.RAN;
-            default -> RunState.UNKNOWN;
-          };
+      RunState runState = runState(body.path("runState").asText());
+      if (runState == null) {
+        return wrong("error that does not tell whether the request ran: " + body);
+      }
       Attempt.Advice advice =
           switch (label(body.path("retry").asText())) {
             case "ELSEWHERE" -> Attempt.Advice.ELSEWHERE;
@@ -191,6 +190,15 @@
       return end(Attempt.End.ERROR, code, runState, advice, body.path("message").asText());
     }
 
+    private static @Nullable RunState runState(String label) {
+      for (RunState state : RunState.values()) {
+        if (state.label().equals(label)) {
+          return state;
+        }
+      }
+      return null;
+    }
+
     private Attempt refused(String reason) {
       return end(
           Attempt.End.BROKEN,
--- a/limpet-load/src/main/java/org/limpetring/load/check/PromiseChecker.java
+++ b/limpet-load/src/main/java/org/limpetring/load/check/PromiseChecker.java
@@ -157,7 +157,15 @@
     if (entry.ran() && window.contains(entry.endedAtMs()) && !late) {
       tally.check(
           entry.state() != RunEntry.State.CUT,
-          entry.request() + " was cut on " + entry.host() + ", caller whole: " + result.whole());
+          entry.request()
+              + " was cut on "
+              + entry.host()
+              + " ("
+              + entry.detail()
+              + ") "
+              + (entry.endedAtMs() - window.outAtMs())
+              + " ms after the mark, caller whole: "
+              + result.whole());
     }
   }
 }
--- a/limpet-load/src/main/java/org/limpetring/load/report/TextReport.java
+++ b/limpet-load/src/main/java/org/limpetring/load/report/TextReport.java
@@ -36,7 +36,7 @@
   private void promise(Promise promise) {
     line(
         "%s %s: %d of %d broken%s",
-        promise.kept() ? "kept  " : "BROKEN",
+        state(promise),
         promise.name(),
         promise.violations(),
         promise.checked(),
@@ -44,6 +44,13 @@
     promise.examples().forEach(example -> line("         %s", example));
   }
 
+  private static String state(Promise promise) {
+    if (!promise.kept()) {
+      return "BROKEN ";
+    }
+    return promise.checked() == 0 ? "no case" : "kept   ";
+  }
+
   private void phase(Report.PhaseReport phase) {
     line(
         "phase %s: factor %.2f, offered %d, good %d (%.1f/s), codes %s",
--- a/limpet-load/src/test/java/org/limpetring/load/LoadAgainstStandinTest.java
+++ b/limpet-load/src/test/java/org/limpetring/load/LoadAgainstStandinTest.java
@@ -2,6 +2,7 @@
 
 import static com.google.common.truth.Truth.assertThat;
 
+import java.io.IOException;
 import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -25,6 +26,11 @@
 /** Drives the stand-in of an engine without a daemon in between, so that its faults show. */
 final class LoadAgainstStandinTest {
 
+  private static final SignalSender NO_SIGNALS =
+      (signal, process) -> {
+        throw new IOException("no process here");
+      };
+
   private int port;
   private Standin standin;
 
@@ -52,7 +58,7 @@
 
   @Test
   void healthyEngineKeepsAllPromises() throws Exception {
-    Report report = LimpetLoad.runExperiment(experiment(List.of()));
+    Report report = LimpetLoad.runExperiment(experiment(List.of()), NO_SIGNALS);
     assertThat(report.pass()).isTrue();
     Report.PhaseReport phase = report.phases().get(0);
     assertThat(phase.good()).isEqualTo(phase.offered());
@@ -64,7 +70,7 @@
   void crossedAnswerFailsTheExperiment() throws Exception {
     Fault fault = new Fault("a", Fault.Kind.CROSSED_ANSWER, 1, 0, 1);
     Experiment.Step step = new Experiment.Step(300, fault, null, null, null, null);
-    Report report = LimpetLoad.runExperiment(experiment(List.of(step)));
+    Report report = LimpetLoad.runExperiment(experiment(List.of(step)), NO_SIGNALS);
     assertThat(report.pass()).isFalse();
     assertThat(report.promises().get(0).violations()).isEqualTo(1);
   }
--- a/limpet-load/src/test/java/org/limpetring/load/check/PromiseCheckerTest.java
+++ b/limpet-load/src/test/java/org/limpetring/load/check/PromiseCheckerTest.java
@@ -62,7 +62,7 @@
 
   @Test
   void requestCutByAPlannedStopIsFound() {
-    RunEntry cut = new RunEntry(0, "h", "q1", "r1", false, 1, 900, 4_000, RunEntry.State.CUT);
+    RunEntry cut = new RunEntry(0, "h", "q1", "r1", false, 1, 900, 4_000, RunEntry.State.CUT, "");
     assertThat(broken(result(RunState.RAN, 0), cut))
         .containsExactly("a planned stop cuts no request");
   }
@@ -73,7 +73,8 @@
   }
 
   private static RunEntry run(String request, String reference, long atMs, boolean cold, int now) {
-    return new RunEntry(0, "h", request, reference, cold, now, atMs, atMs + 1, RunEntry.State.DONE);
+    return new RunEntry(
+        0, "h", request, reference, cold, now, atMs, atMs + 1, RunEntry.State.DONE, "");
   }
 
   private static CallResult result(RunState runState, int code) {
--- a/limpet-standin/src/main/java/org/limpetring/standin/engine/ChatExecution.java
+++ b/limpet-standin/src/main/java/org/limpetring/standin/engine/ChatExecution.java
@@ -50,10 +50,13 @@
     run.started();
     try {
       runIn(exchange, new Work(token, id, request, run));
+    } catch (IOException failure) {
+      run.cut(failure.toString());
+      throw failure;
     } finally {
       engine.batch().leave();
       cancelled.remove(id);
-      run.ended(RunEntry.State.CUT);
+      run.cut("");
     }
   }
 
@@ -138,8 +141,11 @@
   /** Lets time pass and fails once the group is no longer whole, or the request is cancelled. */
   private void pass(Exchange exchange, Work work, long timeMs) throws IOException {
     engine.host().work(exchange, timeMs);
-    if (cancelled.contains(work.id()) || !engine.canGoOn(work.token())) {
-      throw new IOException("cut: " + work.id());
+    if (cancelled.contains(work.id())) {
+      throw new IOException("cancelled: " + work.id());
+    }
+    if (!engine.canGoOn(work.token())) {
+      throw new IOException("group is no longer whole");
     }
   }
 
--- a/limpet-standin/src/main/java/org/limpetring/standin/engine/Engine.java
+++ b/limpet-standin/src/main/java/org/limpetring/standin/engine/Engine.java
@@ -2,8 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.LinkedHashSet;
-import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.limpetring.base.Clock;
@@ -64,7 +64,7 @@
     if (order.kind() == Order.Kind.JOIN) {
       join(order, current);
     } else if (current != null && current.group().equals(order.group())) {
-      membership = order.kind() == Order.Kind.DRAIN ? current.drain() : null;
+      membership = order.kind() == Order.Kind.DRAIN ? current.renew(order.epoch(), true) : null;
     }
     return null;
   }
@@ -91,12 +91,11 @@
   /** Whether the engine is loaded and each fellow member is alive in the same group and epoch. */
   boolean isReady() {
     Membership own = membership();
-    if (own == null || own.loadedAtMs() > clock.nowMs()) {
+    if (own == null || !isWhole(own)) {
       return false;
     }
     for (String member : own.members()) {
-      Engine fellow = fellows.get(member);
-      if (fellow == null || !fellow.isMemberOf(own)) {
+      if (Objects.requireNonNull(fellows.get(member)).epoch() != own.epoch()) {
         return false;
       }
     }
@@ -112,7 +111,7 @@
   /** Whether work begun under {@code token} can go on: the whole group is still there. */
   boolean canGoOn(Object token) {
     Membership own = membership();
-    return own != null && own.token() == token && isReady();
+    return own != null && own.token() == token && isWhole(own);
   }
 
   /** Whether the engine bears full load. */
@@ -141,36 +140,51 @@
     return membership;
   }
 
+  private synchronized long epoch() {
+    return membership == null ? 0 : membership.epoch();
+  }
+
+  /** Whether each fellow member is alive in the same group and has loaded its part. */
+  private boolean isWhole(Membership own) {
+    if (own.loadedAtMs() > clock.nowMs()) {
+      return false;
+    }
+    for (String member : own.members()) {
+      Engine fellow = fellows.get(member);
+      if (fellow == null || !fellow.isMemberOf(own)) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private boolean isMemberOf(Membership other) {
     Membership own = membership();
     return host.alive()
         && !host.paused()
         && own != null
-        && own.group().equals(other.group())
-        && own.epoch() == other.epoch()
+        && own.isSameGroup(other)
         && own.loadedAtMs() <= clock.nowMs();
   }
 
   private void join(Order order, @Nullable Membership current) {
-    if (current != null && current.isSame(order)) {
-      membership = current.undrain();
+    if (current != null && current.isSamePlace(order)) {
+      membership = current.renew(order.epoch(), false);
       return;
     }
-    String model = order.model() == null ? "" : order.model();
-    List<String> members = order.members() == null ? List.of() : order.members();
     Object token = new Object();
     membership =
         new Membership(
             token,
             order.group(),
             order.epoch(),
-            model,
+            order.model(),
             order.rank(),
-            members,
+            order.members(),
             false,
             Long.MAX_VALUE);
     long loadMs = Math.round(settings.loadMs() * host.slowFactor());
-    if (heldModels.contains(model)) {
+    if (heldModels.contains(order.model())) {
       loader.after(loadMs / HELD_LOAD_DIVISOR, () -> loaded(token));
     } else {
       loader.load(loadMs, () -> loaded(token));
--- a/limpet-standin/src/main/java/org/limpetring/standin/engine/Membership.java
+++ b/limpet-standin/src/main/java/org/limpetring/standin/engine/Membership.java
@@ -18,19 +18,23 @@
     boolean draining,
     long loadedAtMs) {
 
-  Membership drain() {
-    return new Membership(token, group, epoch, model, rank, members, true, loadedAtMs);
-  }
-
-  Membership undrain() {
-    return new Membership(token, group, epoch, model, rank, members, false, loadedAtMs);
+  /** The same place in the same group by a newer order; work in progress goes on. */
+  Membership renew(long newEpoch, boolean isDraining) {
+    return new Membership(token, group, newEpoch, model, rank, members, isDraining, loadedAtMs);
   }
 
   Membership loadedAt(long timeMs) {
     return new Membership(token, group, epoch, model, rank, members, draining, timeMs);
   }
 
-  boolean isSame(Order order) {
-    return group.equals(order.group()) && epoch == order.epoch();
+  boolean isSamePlace(Order order) {
+    return group.equals(order.group())
+        && model.equals(order.model())
+        && rank == order.rank()
+        && members.equals(order.members());
+  }
+
+  boolean isSameGroup(Membership other) {
+    return group.equals(other.group) && members.equals(other.members);
   }
 }
--- a/limpet-standin/src/main/java/org/limpetring/standin/engine/Order.java
+++ b/limpet-standin/src/main/java/org/limpetring/standin/engine/Order.java
@@ -10,14 +10,15 @@
     String group,
     long epoch,
     @Nullable String host,
-    @Nullable String model,
+    String model,
     int rank,
-    @Nullable List<String> members) {
+    List<String> members) {
 
   /** Rejects an order without a kind or a group. */
   public Order {
     Objects.requireNonNull(kind, "kind");
     Objects.requireNonNull(group, "group");
+    model = model == null ? "" : model;
     members = members == null ? List.of() : List.copyOf(members);
   }
 
--- a/limpet-standin/src/main/java/org/limpetring/standin/host/RunEntry.java
+++ b/limpet-standin/src/main/java/org/limpetring/standin/host/RunEntry.java
@@ -10,6 +10,7 @@
  * @param running requests in progress on the upstream at the arrival, this one included
  * @param arrivedAtMs wall time in milliseconds since the Unix epoch
  * @param endedAtMs the same, or 0 while in progress
+ * @param detail why the answer was cut, or empty
  */
 public record RunEntry(
     long number,
@@ -20,7 +21,8 @@
     int running,
     long arrivedAtMs,
     long endedAtMs,
-    State state) {
+    State state,
+    String detail) {
 
   /** How far the request came. */
   public enum State {
--- a/limpet-standin/src/main/java/org/limpetring/standin/host/RunLog.java
+++ b/limpet-standin/src/main/java/org/limpetring/standin/host/RunLog.java
@@ -36,6 +36,7 @@
     private final long arrivedAtMs;
     private RunEntry.State state = RunEntry.State.WAITING;
     private long endedAtMs;
+    private String detail = "";
 
     private Run(
         long number,
@@ -67,9 +68,17 @@
       }
     }
 
+    /** Notes that the answer was cut, and why. */
+    public synchronized void cut(String reason) {
+      if (endedAtMs == 0) {
+        detail = reason;
+        ended(RunEntry.State.CUT);
+      }
+    }
+
     private synchronized RunEntry entry() {
       return new RunEntry(
-          number, host, request, reference, cold, running, arrivedAtMs, endedAtMs, state);
+          number, host, request, reference, cold, running, arrivedAtMs, endedAtMs, state, detail);
     }
   }
 }
--- a/limpet-standin/src/main/java/org/limpetring/standin/plain/PlainService.java
+++ b/limpet-standin/src/main/java/org/limpetring/standin/plain/PlainService.java
@@ -62,9 +62,11 @@
     try {
       run(exchange, id, reference);
       run.ended(RunEntry.State.DONE);
+    } catch (IOException failure) {
+      run.cut(failure.toString());
+      throw failure;
     } finally {
       running.decrementAndGet();
-      run.ended(RunEntry.State.CUT);
     }
   }
 
