TLS for callers with keys that rotate without restart

Cause: callers' keys and answers went over plain connections, and a new certificate meant a restart. Change: HTTPS connector from PEM files; files are looked at every 5 s; unusable ones change nothing. Measured: KeyRotationTest passes: new files served by the running server, broken ones ignored.

--- a/limpet-base/src/main/java/org/limpetring/base/LogEvent.java
+++ b/limpet-base/src/main/java/org/limpetring/base/LogEvent.java
@@ -15,6 +15,8 @@
   PROCESS_STOPPED(1003, Logger.Level.INFO, "stopped after %s ms, %s requests cut"),
   SETTINGS_REJECTED(1004, Logger.Level.ERROR, "settings rejected: %s"),
   UNEXPECTED_FAILURE(1005, Logger.Level.ERROR, "unexpected failure in %s: %s"),
+  KEYS_ROTATED(1006, Logger.Level.INFO, "new keys in use from %s"),
+  KEYS_UNUSABLE(1007, Logger.Level.WARN, "keys from %s cannot be used: %s"),
 
   CONFIG_IN_FORCE(2001, Logger.Level.INFO, "configuration generation %s in force"),
   CONFIG_REJECTED(2002, Logger.Level.WARN, "configuration rejected: %s"),
--- a/limpetd/src/main/java/org/limpetring/daemon/LimpetDaemon.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/LimpetDaemon.java
@@ -5,7 +5,10 @@
 import io.dropwizard.core.Application;
 import io.dropwizard.core.setup.Bootstrap;
 import io.dropwizard.core.setup.Environment;
+import io.dropwizard.jetty.SslReload;
 import io.prometheus.metrics.exporter.servlet.jakarta.PrometheusMetricsServlet;
+import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.util.Objects;
 import org.apache.commons.cli.CommandLine;
 import org.apache.commons.cli.DefaultParser;
@@ -13,6 +16,7 @@
 import org.apache.commons.cli.Options;
 import org.apache.commons.cli.ParseException;
 import org.apache.commons.cli.help.HelpFormatter;
+import org.eclipse.jetty.server.Server;
 import org.jboss.logging.Logger;
 import org.limpetring.base.Clock;
 import org.limpetring.base.LogEvent;
@@ -24,9 +28,12 @@
 import org.limpetring.daemon.operator.ServingHealth;
 import org.limpetring.daemon.settings.DaemonConfiguration;
 import org.limpetring.daemon.settings.DaemonSettings;
+import org.limpetring.daemon.settings.DaemonSettings.TlsFiles;
 import org.limpetring.daemon.settings.SettingsConfigurationFactory;
+import org.limpetring.daemon.tls.KeyRotation;
 import org.limpetring.daemon.wiring.ControlLoops;
 import org.limpetring.daemon.wiring.DaemonModule;
+import org.limpetring.daemon.wiring.DaemonThreads;
 
 /** Entry point of the daemon: reads the command line and starts Dropwizard. */
 public final class LimpetDaemon extends Application<DaemonConfiguration> {
@@ -35,6 +42,7 @@
   public static final String READY_PATH = "/limpet/ready";
 
   private static final Logger LOGGER = Logger.getLogger(LimpetDaemon.class);
+  private static final long KEY_POLL_MS = 5_000;
   private static final int EXIT_USAGE = 2;
   private static final int EXIT_FAILED = 1;
 
@@ -103,6 +111,7 @@
         .addServlet("operator", OperatorServlet.of(injector.getInstance(OperatorResource.class)))
         .addMapping("/limpet/*");
     injector.getInstance(ControlLoops.class).start();
+    environment.lifecycle().addServerLifecycleListener(server -> watchKeys(server, injector));
     environment
         .lifecycle()
         .addServerLifecycleListener(injector.getInstance(GracefulStop.class)::takeOver);
@@ -110,6 +119,20 @@
         LOGGER, "limpetd", settings.address() + ":" + settings.callerPort());
   }
 
+  private static void watchKeys(Server server, Injector injector) {
+    TlsFiles tls = injector.getInstance(DaemonSettings.class).tls();
+    SslReload reload = server.getBean(SslReload.class);
+    if (tls == null || reload == null) {
+      return;
+    }
+    try {
+      KeyRotation rotation = new KeyRotation(tls, reload);
+      injector.getInstance(DaemonThreads.class).every("keys", KEY_POLL_MS, rotation::poll);
+    } catch (IOException unreadable) {
+      throw new UncheckedIOException(unreadable);
+    }
+  }
+
   @Override
   protected void onFatalError(Throwable failure) {
     LogEvent.SETTINGS_REJECTED.log(LOGGER, String.valueOf(failure.getMessage()));
--- a/limpetd/src/main/java/org/limpetring/daemon/settings/DaemonConfiguration.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/settings/DaemonConfiguration.java
@@ -13,6 +13,8 @@
 import java.util.Map;
 import java.util.Objects;
 import org.jspecify.annotations.Nullable;
+import org.limpetring.daemon.settings.DaemonSettings.TlsFiles;
+import org.limpetring.daemon.tls.PemHttpsConnectorFactory;
 
 /** What Dropwizard is started with: its own parts, filled in from the settings of the daemon. */
 public final class DaemonConfiguration extends Configuration {
@@ -41,7 +43,9 @@
 
   private static DefaultServerFactory server(DaemonSettings settings) {
     DefaultServerFactory server = new DefaultServerFactory();
-    HttpConnectorFactory application = new HttpConnectorFactory();
+    TlsFiles tls = settings.tls();
+    HttpConnectorFactory application =
+        tls == null ? new HttpConnectorFactory() : new PemHttpsConnectorFactory(tls);
     bind(application, settings.address(), settings.callerPort());
     HttpConnectorFactory admin = new HttpConnectorFactory();
     bind(admin, settings.address(), settings.adminPort());
