--- /dev/null
+++ b/limpetctl/src/test/java/org/limpetring/ctl/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the operators' command line. */
+@NullMarked
+package org.limpetring.ctl;
+
+import org.jspecify.annotations.NullMarked;
