Preload spares; measure formation against waiting and rebuilding at once

Cause: with rebuilding at once most downtime was the load of weights on a cold spare. Change: a spare without weights gets a standby group of its own that loads and never serves; least priority for the weight store. FormationRun measures policies on the same seeds. Kept: preload, patience 1 s.

--- a/limpet-groups/src/main/java/org/limpetring/groups/PlannedGroup.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/PlannedGroup.java
@@ -43,7 +43,9 @@
     /** Load the model and take requests. */
     SERVING(MemberOrder.Kind.JOIN),
     /** Finish requests in progress, take no new one and keep the weights. */
-    DRAINING(MemberOrder.Kind.DRAIN);
+    DRAINING(MemberOrder.Kind.DRAIN),
+    /** Load the model to be ready as a replacement; takes no request. */
+    STANDBY(MemberOrder.Kind.JOIN);
 
     private final MemberOrder.Kind order;
 
--- a/limpet-groups/src/main/java/org/limpetring/groups/control/Topology.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/control/Topology.java
@@ -87,7 +87,11 @@
   List<Target> targets(List<Plan> plans) {
     List<Target> targets = new ArrayList<>();
     for (Plan plan : plans) {
-      plan.groups().forEach(group -> addTarget(group, true, targets));
+      for (PlannedGroup group : plan.groups()) {
+        if (group.state() != PlannedGroup.State.STANDBY) {
+          addTarget(group, true, targets);
+        }
+      }
     }
     poolOf.forEach(
         (host, pool) -> {
--- a/limpet-groups/src/main/java/org/limpetring/groups/monitor/GroupMonitor.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/monitor/GroupMonitor.java
@@ -95,7 +95,7 @@
       return contradicted("out of service or leaving");
     }
     if (group.state() != PlannedGroup.State.SERVING) {
-      return contradicted("draining");
+      return contradicted(group.state() + ", not serving");
     }
     GroupCheck.Finding finding = check.check(group, target.takesOrders(), nowMs);
     if (finding.kind() != GroupCheck.Kind.WHOLE) {
--- a/limpet-groups/src/main/java/org/limpetring/groups/order/OrderPlanner.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/order/OrderPlanner.java
@@ -135,7 +135,9 @@
   private static List<PlannedGroup> byLoadsLeft(Plan plan, ReportBook reports) {
     return plan.groups().stream()
         .sorted(
-            Comparator.comparingLong((PlannedGroup group) -> loadsLeft(group, reports))
+            Comparator.comparing(
+                    (PlannedGroup group) -> group.state() == PlannedGroup.State.STANDBY)
+                .thenComparingLong(group -> loadsLeft(group, reports))
                 .thenComparing(PlannedGroup::id))
         .toList();
   }
--- a/limpet-groups/src/main/java/org/limpetring/groups/plan/DomainHosts.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/DomainHosts.java
@@ -2,6 +2,7 @@
 
 import java.util.HashMap;
 import java.util.Map;
+import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.limpetring.base.HostId;
 import org.limpetring.groups.MemberReport;
@@ -15,6 +16,7 @@
   private final PlannerPolicy policy;
   private final long nowMs;
   private final Map<HostId, HostEntry> entries = new HashMap<>();
+  private final Map<HostId, HostCondition> conditions = new HashMap<>();
 
   DomainHosts(PlannerInput input, PlannerPolicy policy, long nowMs) {
     this.input = input;
@@ -27,12 +29,16 @@
     }
   }
 
-  /** Whether the host list places the host in this domain. */
-  boolean contains(HostId host) {
-    return entries.containsKey(host);
+  /** Hosts that the host list places in this domain. */
+  Set<HostId> all() {
+    return entries.keySet();
   }
 
   HostCondition condition(HostId host) {
+    return conditions.computeIfAbsent(host, this::judge);
+  }
+
+  private HostCondition judge(HostId host) {
     @Nullable HostEntry entry = entries.get(host);
     if (entry != null && input.marks().outDomains().contains(entry.failureDomain())) {
       return HostCondition.OUT;
--- a/limpet-groups/src/main/java/org/limpetring/groups/plan/GroupStop.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/GroupStop.java
@@ -27,7 +27,7 @@
       draft.setState(group, State.DRAINING, reason);
       return;
     }
-    if (isDone(group)) {
+    if (group.state() == State.STANDBY || isDone(group)) {
       draft.remove(group, reason);
     }
   }
--- a/limpet-groups/src/main/java/org/limpetring/groups/plan/PlanDraft.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/PlanDraft.java
@@ -28,7 +28,11 @@
     this.before = before;
     this.epoch = epoch;
     this.groups = new ArrayList<>(before.groups());
-    groups.forEach(group -> assigned.addAll(group.members()));
+    for (PlannedGroup group : groups) {
+      if (group.state() != State.STANDBY) {
+        assigned.addAll(group.members());
+      }
+    }
   }
 
   /** Groups of one pool, in plan order. */
@@ -40,11 +44,23 @@
     return List.copyOf(groups);
   }
 
+  /** Whether a group that serves or drains has the host. */
   boolean isAssigned(HostId host) {
     return assigned.contains(host);
   }
 
   void add(Pool pool, List<HostId> members) {
+    add(pool, members, State.SERVING);
+  }
+
+  void addStandby(Pool pool, HostId spare) {
+    if (groups.stream().noneMatch(group -> group.entry().equals(spare))) {
+      add(pool, List.of(spare), State.STANDBY);
+    }
+  }
+
+  private void add(Pool pool, List<HostId> members, State state) {
+    members.forEach(this::endStandby);
     GroupId id =
         new GroupId(
             shortened(pool.name().value())
@@ -54,8 +70,10 @@
                 + epoch
                 + "."
                 + added++);
-    groups.add(new PlannedGroup(id, pool.name(), pool.model(), epoch, State.SERVING, members));
-    assigned.addAll(members);
+    groups.add(new PlannedGroup(id, pool.name(), pool.model(), epoch, state, members));
+    if (state != State.STANDBY) {
+      assigned.addAll(members);
+    }
     reasons.add("formed " + id);
   }
 
@@ -67,6 +85,7 @@
   }
 
   PlannedGroup replaceMember(PlannedGroup group, HostId old, HostId replacement, String reason) {
+    endStandby(replacement);
     List<HostId> members = new ArrayList<>(group.members());
     members.set(members.indexOf(old), replacement);
     PlannedGroup changed = group.withMembers(members, epoch);
@@ -95,6 +114,10 @@
     return new PlannerDecision.Replace(new Plan(before.domain(), epoch, "", groups), reasons);
   }
 
+  private void endStandby(HostId host) {
+    groups.removeIf(group -> group.state() == State.STANDBY && group.members().contains(host));
+  }
+
   private static String shortened(String name) {
     if (name.length() <= NAME_PART_LENGTH) {
       return name;
--- a/limpet-groups/src/main/java/org/limpetring/groups/plan/PlannerPolicy.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/PlannerPolicy.java
@@ -10,6 +10,7 @@
  * @param movePauseMs least time between two voluntary changes: a group reopened or stopped
  * @param swapsBack whether a free host with weights replaces a member that still loads them
  * @param breaksUp whether incomplete groups give hosts to others
+ * @param preloadsSpares whether spares load the weights before they are needed
  */
 public record PlannerPolicy(
     long freshMs,
@@ -18,15 +19,23 @@
     long drainDeadlineMs,
     long movePauseMs,
     boolean swapsBack,
-    boolean breaksUp) {
+    boolean breaksUp,
+    boolean preloadsSpares) {
 
   /** Policy of the daemon. */
   public static final PlannerPolicy DEFAULT =
-      new PlannerPolicy(3_000, 3_000, 3_000, 900_000, 1_000, true, true);
+      new PlannerPolicy(3_000, 1_000, 3_000, 900_000, 1_000, true, true, true);
 
   /** The same policy with another patience. */
   public PlannerPolicy withPatienceMs(long newPatienceMs) {
     return new PlannerPolicy(
-        freshMs, newPatienceMs, drainMinMs, drainDeadlineMs, movePauseMs, swapsBack, breaksUp);
+        freshMs,
+        newPatienceMs,
+        drainMinMs,
+        drainDeadlineMs,
+        movePauseMs,
+        swapsBack,
+        breaksUp,
+        preloadsSpares);
   }
 }
--- a/limpet-groups/src/main/java/org/limpetring/groups/plan/PoolFormation.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/PoolFormation.java
@@ -24,6 +24,7 @@
   private final GroupPlanner.Pace pace;
   private final GroupStop stop;
   private final long nowMs;
+  private final Set<HostId> candidates;
   private final PoolQuota quotas;
   private final int quota;
 
@@ -40,6 +41,7 @@
     this.policy = policy;
     this.pace = pace;
     this.nowMs = nowMs;
+    this.candidates = new HashSet<>(pool.hosts());
     this.stop = new GroupStop(hosts, policy, pace, nowMs);
     this.quotas = new PoolQuota(pool, input.hosts(), input.marks());
     this.quota = quotas.of(input.plan().domain());
@@ -56,9 +58,16 @@
     if (policy.swapsBack()) {
       swapBack(draft);
     }
+    if (policy.preloadsSpares()) {
+      preloadSpares(draft);
+    }
   }
 
   private void review(PlanDraft draft, PlannedGroup group) {
+    if (group.state() == State.STANDBY) {
+      reviewStandby(draft, group);
+      return;
+    }
     if (hasMember(group, HostCondition.OUT)) {
       if (group.state() == State.SERVING) {
         draft.setState(group, State.DRAINING, "failure domain is out");
@@ -81,6 +90,28 @@
     }
   }
 
+  private void reviewStandby(PlanDraft draft, PlannedGroup group) {
+    HostId spare = group.entry();
+    boolean isUseful =
+        policy.preloadsSpares()
+            && group.model().equals(pool.model())
+            && candidates.contains(spare)
+            && (hosts.condition(spare) == HostCondition.USABLE
+                || hosts.condition(spare) == HostCondition.PAUSED);
+    if (!isUseful) {
+      draft.remove(group, "standby no longer useful");
+    }
+  }
+
+  /** Gives each spare without weights a group of its own that never serves, so that it loads. */
+  private void preloadSpares(PlanDraft draft) {
+    for (HostId spare : freeHosts(draft)) {
+      if (!draft.isAssigned(spare) && !hosts.holds(spare, pool.model())) {
+        draft.addStandby(pool, spare);
+      }
+    }
+  }
+
   /** Fills the places of lost members from free hosts, then from other incomplete groups. */
   private void repair(PlanDraft draft) {
     List<PlannedGroup> broken = brokenGroups(draft);
@@ -193,8 +224,8 @@
 
   /** Usable hosts of the pool without a group, those with the weights first. */
   private List<HostId> freeHosts(PlanDraft draft) {
-    return pool.hosts().stream()
-        .filter(host -> hosts.contains(host) && !draft.isAssigned(host))
+    return hosts.all().stream()
+        .filter(host -> candidates.contains(host) && !draft.isAssigned(host))
         .filter(host -> hosts.condition(host) == HostCondition.USABLE)
         .sorted(
             Comparator.comparing((HostId host) -> !hosts.holds(host, pool.model()))
@@ -233,7 +264,7 @@
   }
 
   private boolean noneDraining(PlanDraft draft) {
-    return servingPlanned(draft) == draft.groups(pool.name()).size();
+    return draft.groups(pool.name()).stream().noneMatch(group -> group.state() == State.DRAINING);
   }
 
   private boolean tryMove() {
@@ -257,7 +288,6 @@
   }
 
   private boolean fitsPool(PlannedGroup group) {
-    Set<HostId> candidates = new HashSet<>(pool.hosts());
     return group.members().size() == pool.groupSize()
         && group.model().equals(pool.model())
         && candidates.containsAll(group.members());
--- /dev/null
+++ b/limpet-groups/src/test/java/org/limpetring/groups/world/FormationRun.java
@@ -0,0 +1,250 @@
+package org.limpetring.groups.world;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Locale;
+import java.util.Random;
+import java.util.Set;
+import java.util.logging.Level;
+import java.util.logging.Logger;
+import org.limpetring.base.FailureDomain;
+import org.limpetring.base.GroupId;
+import org.limpetring.base.HostId;
+import org.limpetring.groups.PlannedGroup;
+import org.limpetring.groups.plan.PlannerPolicy;
+import org.limpetring.platform.HostEntry;
+import org.limpetring.tables.ServiceMarks;
+
+/**
+ * Measures group downtime and stranded hosts under random member failures, and service while a
+ * failure domain goes out and returns, for several policies on the same seeds.
+ */
+public final class FormationRun {
+
+  private static final PlannerPolicy DEFAULT = PlannerPolicy.DEFAULT;
+  private static final long FOREVER_MS = Long.MAX_VALUE / 4;
+  private static final Logger LOGGER = Logger.getLogger("org.limpetring");
+
+  private FormationRun() {}
+
+  /**
+   * Takes {@code failures} or {@code domain}, then the fleet (55 or 850) and the seeds; system
+   * property {@code limpet.variants} limits the policies.
+   */
+  public static void main(String[] arguments) {
+    LOGGER.setLevel(Level.OFF);
+    boolean isLarge = arguments[1].equals("850");
+    String chosen = System.getProperty("limpet.variants", "");
+    for (Variant variant : Variant.values()) {
+      if (!chosen.isEmpty() && !List.of(chosen.split(",")).contains(variant.name())) {
+        continue;
+      }
+      Totals totals = new Totals();
+      for (int index = 2; index < arguments.length; index++) {
+        long seed = Long.parseLong(arguments[index]);
+        if (arguments[0].equals("failures")) {
+          memberFailures(variant, isLarge, seed, totals);
+        } else {
+          domainOutAndIn(variant, isLarge, seed, totals);
+        }
+      }
+      System.out.println(totals.line(variant));
+    }
+  }
+
+  private static GroupWorld world(Variant variant, boolean isLarge, int groupsWanted) {
+    GroupWorld world =
+        new GroupWorld(
+            isLarge
+                ? WorldSize.fleet(7, 2, 850, groupsWanted, variant.policy)
+                : WorldSize.fleet(3, 1, 55, groupsWanted, variant.policy));
+    world.engineList().forEach(engine -> engine.hold(FakeWeights.MODEL));
+    for (int step = 0; step < 100; step++) {
+      world.advance();
+    }
+    return world;
+  }
+
+  private static void memberFailures(Variant variant, boolean isLarge, long seed, Totals totals) {
+    GroupWorld world = world(variant, isLarge, 0);
+    Random random = new Random(seed);
+    int full = world.serving().size();
+    List<Recovery> recoveries = new ArrayList<>();
+    double meanGapMs = isLarge ? 20_000 : 150_000;
+    long nextMs = world.clock.nowMs();
+    int failures = 0;
+    while (failures < 100 || !recoveries.isEmpty()) {
+      long nowMs = world.clock.nowMs();
+      if (failures < 100 && nowMs >= nextMs) {
+        failures += fail(world, random, recoveries, nowMs);
+        nextMs = nowMs + (long) (-Math.log(1 - random.nextDouble()) * meanGapMs);
+      }
+      recoveries.removeIf(recovery -> recovery.isDone(nowMs));
+      world.advance();
+      totals.add(world, full);
+    }
+    totals.failures += failures;
+  }
+
+  /** Six in ten failures are pauses, three are restarts, one is a long loss. */
+  private static int fail(GroupWorld world, Random random, List<Recovery> recoveries, long nowMs) {
+    FakeEngine engine = world.engineList().get(random.nextInt(world.engines.size()));
+    int kind = random.nextInt(10);
+    boolean losesWeights = random.nextBoolean();
+    double length = random.nextDouble();
+    boolean isMember =
+        world.plannedGroups().stream()
+            .filter(group -> group.state() == PlannedGroup.State.SERVING)
+            .anyMatch(group -> group.members().contains(engine.host));
+    if (!engine.answers() || !isMember) {
+      return 0;
+    }
+    if (kind < 6) {
+      engine.isPaused = true;
+      recoveries.add(new Recovery(engine, nowMs + 1_000 + (long) (length * 19_000)));
+    } else if (kind < 9) {
+      engine.crash(losesWeights);
+      recoveries.add(new Recovery(engine, nowMs + 60_000 + (long) (length * 120_000)));
+    } else {
+      engine.crash(true);
+      recoveries.add(new Recovery(engine, nowMs + 1_800_000));
+    }
+    return 1;
+  }
+
+  private static void domainOutAndIn(Variant variant, boolean isLarge, long seed, Totals totals) {
+    int wanted = isLarge ? 150 : 9;
+    GroupWorld world = world(variant, isLarge, wanted);
+    Random random = new Random(seed);
+    FailureDomain domain = world.hosts.get(random.nextInt(world.hosts.size())).failureDomain();
+    runRequests(world, random, 60_000, wanted, totals);
+    world.setConfig(wanted, new ServiceMarks(Set.of(domain), Set.of()));
+    runRequests(world, random, 600_000, wanted, totals);
+    totals.lostWhileOut += totals.downGroupMs;
+    world.setConfig(wanted, ServiceMarks.NONE);
+    double before = totals.downGroupMs;
+    runRequests(world, random, 300_000, wanted, totals);
+    totals.lostAfterReturn += totals.downGroupMs - before;
+    totals.downGroupMs = 0;
+    totals.failures += 100;
+    world.engineList().forEach(engine -> totals.cut += engine.cut);
+  }
+
+  private static void runRequests(
+      GroupWorld world, Random random, long forMs, int wanted, Totals totals) {
+    long endMs = world.clock.nowMs() + forMs;
+    while (world.clock.nowMs() < endMs) {
+      Set<GroupId> serving = world.serving();
+      for (PlannedGroup group : world.plannedGroups()) {
+        FakeEngine entry = world.engine(group.entry());
+        if (entry.running > 0 && random.nextInt(20) == 0) {
+          entry.running--;
+        }
+        if (serving.contains(group.id()) && random.nextInt(4) == 0) {
+          entry.running++;
+        }
+      }
+      world.advance();
+      totals.add(world, wanted);
+    }
+  }
+
+  /** Planner to compare. */
+  private enum Variant {
+    WAIT_FOR_MEMBER(policy(FOREVER_MS, false, false, false)),
+    REBUILD_AT_ONCE(policy(1, false, true, false)),
+    PATIENCE_3_S(policy(3_000, false, true, false)),
+    PATIENCE_3_S_SWAP(policy(3_000, true, true, false)),
+    PATIENCE_1_S_PRELOAD(policy(1_000, false, true, true)),
+    PATIENCE_3_S_PRELOAD(policy(3_000, false, true, true)),
+    PATIENCE_10_S_PRELOAD(policy(10_000, false, true, true)),
+    PATIENCE_1_S_BOTH(policy(1_000, true, true, true)),
+    PATIENCE_3_S_BOTH(policy(3_000, true, true, true));
+
+    @SuppressWarnings("ImmutableEnumChecker")
+    private final PlannerPolicy policy;
+
+    Variant(PlannerPolicy policy) {
+      this.policy = policy;
+    }
+
+    private static PlannerPolicy policy(
+        long patienceMs, boolean swapsBack, boolean breaksUp, boolean preloadsSpares) {
+      return new PlannerPolicy(
+          DEFAULT.freshMs(),
+          patienceMs,
+          DEFAULT.drainMinMs(),
+          DEFAULT.drainDeadlineMs(),
+          DEFAULT.movePauseMs(),
+          swapsBack,
+          breaksUp,
+          preloadsSpares);
+    }
+  }
+
+  private record Recovery(FakeEngine engine, long atMs) {
+
+    boolean isDone(long nowMs) {
+      if (nowMs < atMs) {
+        return false;
+      }
+      engine.isPaused = false;
+      engine.isUp = true;
+      return true;
+    }
+  }
+
+  private static final class Totals {
+    private double downGroupMs;
+    private double strandedHostMs;
+    private double lostWhileOut;
+    private double lostAfterReturn;
+    private long failures;
+    private long cut;
+
+    void add(GroupWorld world, int full) {
+      Set<GroupId> serving = world.serving();
+      long stepMs = world.size.stepMs();
+      downGroupMs += (double) Math.max(0, full - serving.size()) * stepMs;
+      Set<HostId> busy = new HashSet<>();
+      for (PlannedGroup group : world.plannedGroups()) {
+        if (serving.contains(group.id())) {
+          busy.addAll(group.members());
+        }
+      }
+      strandedHostMs += (double) stranded(world, busy) * stepMs;
+    }
+
+    /** Healthy hosts outside of a serving group, less those that no arrangement could use. */
+    private static long stranded(GroupWorld world, Set<HostId> busy) {
+      long stranded = 0;
+      for (var domain : world.domains) {
+        int healthy = 0;
+        int used = 0;
+        for (HostEntry entry : world.hosts) {
+          if (entry.fabricDomain().equals(domain) && world.engine(entry.host()).answers()) {
+            healthy++;
+            used += busy.contains(entry.host()) ? 1 : 0;
+          }
+        }
+        int usable = healthy - healthy % world.size.groupSize();
+        stranded += Math.max(0, usable - used);
+      }
+      return stranded;
+    }
+
+    String line(Variant variant) {
+      double per100 = 100.0 / failures / 1_000;
+      return String.format(
+          Locale.ROOT,
+          "%-22s down %8.0f group-s, stranded %8.0f host-s; out %7.0f, back %7.0f group-s; cut %d",
+          variant,
+          downGroupMs * per100,
+          strandedHostMs * per100,
+          lostWhileOut * per100,
+          lostAfterReturn * per100,
+          cut);
+    }
+  }
+}
--- a/limpet-groups/src/test/java/org/limpetring/groups/world/GroupWorld.java
+++ b/limpet-groups/src/test/java/org/limpetring/groups/world/GroupWorld.java
@@ -37,7 +37,6 @@
 /** Daemons and engines under one clock, with the truth that the daemons' judgement must match. */
 final class GroupWorld {
 
-  static final long STEP_MS = 250;
   static final PoolName POOL = new PoolName("pool");
 
   final ManualClock clock = new ManualClock(1_000_000);
@@ -78,7 +77,7 @@
   private void addDomain(int failure, int fabric) {
     FabricDomain domain = new FabricDomain("r" + failure + "-" + fabric);
     domains.add(domain);
-    for (int number = 0; number < size.hostsEach(); number++) {
+    for (int number = 0; number < size.hostsIn(domains.size() - 1); number++) {
       HostId host = new HostId("h" + failure + "-" + fabric + "-" + number);
       String ip = "10." + failure + "." + fabric + "." + number;
       hosts.add(new HostEntry(host, ip, new FailureDomain("z" + failure), domain, false, 4));
@@ -137,12 +136,12 @@
     }
   }
 
-  /** Moves time by one step, ticks every daemon that runs and checks the promises. */
-  void step() {
-    clock.advance(STEP_MS);
+  /** Moves time by one step and ticks every daemon that runs. */
+  void advance() {
+    clock.advance(size.stepMs());
     int loading = (int) engines.values().stream().filter(FakeEngine::isLoading).count();
     double share = weights.share(loading);
-    engines.values().forEach(engine -> engine.advance(STEP_MS, share));
+    engines.values().forEach(engine -> engine.advance(size.stepMs(), share));
     noteTruth();
     for (FakeDaemon daemon : daemons) {
       if (!daemon.isPaused) {
@@ -150,6 +149,11 @@
       }
       noteTruth();
     }
+  }
+
+  /** Advances and checks the promises. */
+  void step() {
+    advance();
     check();
   }
 
