--- a/limpet-routing/src/main/java/org/limpetring/routing/choose/InFlightCounts.java
+++ b/limpet-routing/src/main/java/org/limpetring/routing/choose/InFlightCounts.java
@@ -2,25 +2,53 @@
 
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ConcurrentMap;
+import java.util.concurrent.atomic.AtomicInteger;
 import org.limpetring.base.GroupId;
 
 /** Requests that this daemon has in progress at each group; safe for use by many threads. */
 public final class InFlightCounts {
 
   private final ConcurrentMap<GroupId, Integer> counts = new ConcurrentHashMap<>();
+  private final AtomicInteger total = new AtomicInteger();
 
   /** Requests in progress at {@code group}. */
   public int get(GroupId group) {
     return counts.getOrDefault(group, 0);
   }
 
+  /** Requests in progress at all groups. */
+  public int total() {
+    return total.get();
+  }
+
+  /** Counts one more request at {@code group} unless it has {@code limit}. */
+  public boolean tryBegin(GroupId group, int limit) {
+    boolean[] isBegun = new boolean[1];
+    counts.compute(
+        group,
+        (id, count) -> {
+          int before = count == null ? 0 : count;
+          isBegun[0] = before < limit;
+          return isBegun[0] ? Integer.valueOf(before + 1) : count;
+        });
+    total.addAndGet(isBegun[0] ? 1 : 0);
+    return isBegun[0];
+  }
+
   /** Counts one more request at {@code group}. */
   public void begin(GroupId group) {
-    counts.merge(group, 1, Integer::sum);
+    tryBegin(group, Integer.MAX_VALUE);
   }
 
   /** Counts one request less; groups without a request take no memory. */
   public void end(GroupId group) {
-    counts.computeIfPresent(group, (id, count) -> count > 1 ? count - 1 : null);
+    boolean[] isEnded = new boolean[1];
+    counts.computeIfPresent(
+        group,
+        (id, count) -> {
+          isEnded[0] = true;
+          return count > 1 ? count - 1 : null;
+        });
+    total.addAndGet(isEnded[0] ? -1 : 0);
   }
 }
