Wire fleet, admission, cold groups and suspects into the daemon

Cause: each daemon joined the tables by itself, held every role and admitted without limits. Change: NodeFleet, PeerHub, TopicSpread, GatedAdmission, ColdGroups, Suspects in place of the thin parts.

--- a/limpet-routing/src/main/java/org/limpetring/routing/choose/GroupIndex.java
+++ b/limpet-routing/src/main/java/org/limpetring/routing/choose/GroupIndex.java
@@ -1,6 +1,7 @@
 package org.limpetring.routing.choose;
 
 import java.util.ArrayList;
+import java.util.Collection;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -105,6 +106,11 @@
     return List.copyOf(poolGroups(pool).all());
   }
 
+  /** All groups. */
+  public Collection<ServingGroup> all() {
+    return byId.values();
+  }
+
   PoolGroups poolGroups(PoolName pool) {
     return byPool.getOrDefault(pool, PoolGroups.NONE);
   }
--- a/limpet-routing/src/main/java/org/limpetring/routing/cold/ColdGate.java
+++ b/limpet-routing/src/main/java/org/limpetring/routing/cold/ColdGate.java
@@ -59,6 +59,19 @@
     history.add(roster, actsFromMs);
   }
 
+  /**
+   * Takes a newer roster while senders under earlier epochs may still give permits; slots that it
+   * takes from this daemon are given no more from now on, and it gains none before {@link #settle}.
+   */
+  public synchronized void onRoster(Roster roster) {
+    history.add(roster, SenderHistory.NOT_YET);
+  }
+
+  /** Notes that since {@code nowMs} no sender of an epoch before the newest gives permits. */
+  public synchronized void settle(long nowMs) {
+    history.settle(nowMs);
+  }
+
   /**
    * Asks for a permit.
    *
--- a/limpet-routing/src/main/java/org/limpetring/routing/cold/SenderHistory.java
+++ b/limpet-routing/src/main/java/org/limpetring/routing/cold/SenderHistory.java
@@ -1,8 +1,10 @@
 package org.limpetring.routing.cold;
 
 import java.util.ArrayDeque;
+import java.util.ArrayList;
 import java.util.Deque;
 import java.util.Iterator;
+import java.util.List;
 import org.limpetring.base.DaemonId;
 import org.limpetring.base.GroupId;
 import org.limpetring.fleet.Role;
@@ -14,6 +16,9 @@
   /** Rank of a daemon that is no sender. */
   static final int NO_RANK = -1;
 
+  /** Stands for senders of earlier epochs that may still give permits. */
+  static final long NOT_YET = Long.MAX_VALUE;
+
   private record Stage(Roster roster, long actsFromMs) {}
 
   private final DaemonId self;
@@ -31,10 +36,24 @@
       return false;
     }
     stages.addLast(new Stage(roster, actsFromMs));
-    prune(actsFromMs);
+    if (actsFromMs != NOT_YET) {
+      prune(actsFromMs);
+    }
     return true;
   }
 
+  /** Notes that since {@code nowMs} no sender of an epoch before the newest gives permits. */
+  void settle(long nowMs) {
+    List<Stage> settled = new ArrayList<>();
+    for (Stage stage : stages) {
+      settled.add(
+          stage.actsFromMs() == NOT_YET ? new Stage(stage.roster(), nowMs) : stage);
+    }
+    stages.clear();
+    stages.addAll(settled);
+    prune(nowMs);
+  }
+
   private void prune(long nowMs) {
     while (stages.size() > 1) {
       Iterator<Stage> each = stages.iterator();
--- /dev/null
+++ b/limpetd/src/main/java/org/limpetring/daemon/admission/PoolGate.java
@@ -0,0 +1,94 @@
+package org.limpetring.daemon.admission;
+
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.limpetring.base.Clock;
+import org.limpetring.base.PoolName;
+import org.limpetring.base.ResultCode;
+import org.limpetring.daemon.caller.Admission.Ask;
+import org.limpetring.daemon.caller.Admission.Permit;
+import org.limpetring.daemon.caller.Admission.Result;
+import org.limpetring.daemon.caller.Admission.TryReport;
+import org.limpetring.groups.ServingGroup;
+import org.limpetring.routing.admit.AdmissionEffect;
+import org.limpetring.routing.admit.AdmissionGate;
+import org.limpetring.routing.admit.AdmissionSettings;
+
+/** Gate to the warm groups of one pool for threads that block. */
+final class PoolGate {
+
+  private static final long DECISION_SLACK_MS = 250;
+
+  private final Clock clock;
+  private final WarmGroups warmGroups;
+  private final ColdGroups coldGroups;
+  private final AdmissionGate gate;
+
+  PoolGate(PoolName pool, Clock clock, WarmGroups warmGroups, ColdGroups coldGroups) {
+    this.clock = clock;
+    this.warmGroups = warmGroups;
+    this.coldGroups = coldGroups;
+    this.gate = new AdmissionGate(AdmissionSettings.DEFAULT, warmGroups.placement(pool), clock);
+  }
+
+  /** Waits for the decision on one request, until shortly after its deadline at most. */
+  Result admit(Ask ask) {
+    AdmissionGate.Pass pass =
+        gate.enter(ask.caller(), ask.weight(), ask.deadlineAtMs(), ask.excluded(), ask.affinity());
+    long waitMs = Math.max(0, ask.deadlineAtMs() - clock.nowMs()) + DECISION_SLACK_MS;
+    try {
+      AdmissionEffect decision = pass.decision().get(waitMs, TimeUnit.MILLISECONDS);
+      if (decision instanceof AdmissionEffect.Admit admit) {
+        return new Result.Admitted(new WarmPermit(admit.group(), ask.deadlineAtMs()));
+      }
+      return new Result.Refused(((AdmissionEffect.Refuse) decision).code());
+    } catch (TimeoutException | ExecutionException undecided) {
+      gate.abandon(pass);
+      return new Result.Refused(ResultCode.QUEUE_TIMEOUT);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      gate.abandon(pass);
+      return new Result.Refused(ResultCode.STOPPING);
+    }
+  }
+
+  void tick() {
+    gate.tick();
+  }
+
+  int queued() {
+    return gate.queued();
+  }
+
+  private final class WarmPermit implements Permit {
+
+    private final ServingGroup group;
+    private final long endsAtMs;
+
+    WarmPermit(ServingGroup group, long endsAtMs) {
+      this.group = group;
+      this.endsAtMs = endsAtMs;
+    }
+
+    @Override
+    public ServingGroup group() {
+      return group;
+    }
+
+    @Override
+    public long endsAtMs() {
+      return endsAtMs;
+    }
+
+    @Override
+    public void release(TryReport report) {
+      warmGroups.observe(group, report);
+      coldGroups.observe(group, report);
+      if (report.sent() && report.code() == ResultCode.OK) {
+        gate.observe(report.takenMs());
+      }
+      gate.release(group);
+    }
+  }
+}
--- a/limpetd/src/main/java/org/limpetring/daemon/caller/LocalRequestPath.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/caller/LocalRequestPath.java
@@ -25,6 +25,7 @@
   private final EnginePort engine;
   private final Admission admission;
   private final Claims claims;
+  private final Suspects suspects;
   private final DaemonState state;
   private final RetryPermit retryPermit;
   private final InProgress inProgress;
@@ -36,6 +37,7 @@
       EnginePort engine,
       Admission admission,
       Claims claims,
+      Suspects suspects,
       DaemonState state,
       RetryPermit retryPermit,
       InProgress inProgress) {
@@ -43,6 +45,7 @@
     this.engine = engine;
     this.admission = admission;
     this.claims = claims;
+    this.suspects = suspects;
     this.state = state;
     this.retryPermit = retryPermit;
     this.inProgress = inProgress;
@@ -98,6 +101,7 @@
             engine,
             admission,
             claims,
+            suspects,
             state,
             machine,
             request,
--- a/limpetd/src/main/java/org/limpetring/daemon/caller/RequestDriver.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/caller/RequestDriver.java
@@ -4,6 +4,7 @@
 import java.util.ArrayDeque;
 import java.util.Deque;
 import java.util.List;
+import java.util.Objects;
 import org.jboss.logging.Logger;
 import org.jspecify.annotations.Nullable;
 import org.limpetring.base.Clock;
@@ -12,13 +13,13 @@
 import org.limpetring.base.Outcome;
 import org.limpetring.base.ResultCode;
 import org.limpetring.base.RunState;
-import org.limpetring.engine.AnswerSink;
 import org.limpetring.engine.EnginePort;
 import org.limpetring.engine.EngineRequest;
 import org.limpetring.groups.ServingGroup;
 import org.limpetring.routing.request.RequestEffect;
 import org.limpetring.routing.request.RequestEvent;
 import org.limpetring.routing.request.RequestMachine;
+import org.limpetring.tables.Caller;
 import org.limpetring.tables.Pool;
 import org.limpetring.tables.Route;
 
@@ -37,6 +38,7 @@
   private final EnginePort engine;
   private final Admission admission;
   private final Claims claims;
+  private final Suspects suspects;
   private final DaemonState state;
   private final RequestMachine machine;
   private final CallerRequest request;
@@ -45,14 +47,15 @@
   private final Pool pool;
   private final long deadlineAtMs;
   private String detail = "";
-  private long dispatchedMs;
-  private boolean completed;
+  private Admission.@Nullable Permit permit;
+  private Admission.TryReport lastTry = Admission.TryReport.NOT_SENT;
 
   RequestDriver(
       Clock clock,
       EnginePort engine,
       Admission admission,
       Claims claims,
+      Suspects suspects,
       DaemonState state,
       RequestMachine machine,
       CallerRequest request,
@@ -63,6 +66,7 @@
     this.engine = engine;
     this.admission = admission;
     this.claims = claims;
+    this.suspects = suspects;
     this.state = state;
     this.machine = machine;
     this.request = request;
@@ -95,8 +99,8 @@
     if (effect instanceof RequestEffect.Dispatch dispatch) {
       return dispatch(dispatch);
     }
-    if (effect instanceof RequestEffect.Release release) {
-      admission.release(release.group(), clock.nowMs() - dispatchedMs, completed);
+    if (effect instanceof RequestEffect.Release) {
+      release();
       return null;
     }
     if (effect instanceof RequestEffect.SettleClaim settle) {
@@ -117,39 +121,70 @@
     if (!state.isFresh(clock.nowMs())) {
       return new RequestEvent.Refused(ResultCode.STALE_DAEMON);
     }
-    Admission.Ask ask =
-        new Admission.Ask(
-            pool, request.caller(), admit.excluded(), PromptPrefix.hash(request), deadlineAtMs);
-    Admission.Result result = admission.admit(ask);
+    ResultCode suspicion = suspects.begin(request, pool);
+    if (suspicion != ResultCode.OK) {
+      return new RequestEvent.Refused(suspicion);
+    }
+    Admission.Result result = admission.admit(ask(admit));
     if (result instanceof Admission.Result.Admitted admitted) {
-      return new RequestEvent.Admitted(admitted.group());
+      permit = admitted.permit();
+      return new RequestEvent.Admitted(permit.group());
     }
+    suspects.end(request, pool);
     return new RequestEvent.Refused(((Admission.Result.Refused) result).code());
   }
 
+  private Admission.Ask ask(RequestEffect.Admit admit) {
+    int weight =
+        state.config().routes().callers().stream()
+            .filter(caller -> caller.name().equals(request.caller()))
+            .mapToInt(Caller::weight)
+            .findFirst()
+            .orElse(1);
+    return new Admission.Ask(
+        pool,
+        request.caller(),
+        weight,
+        route.idempotent(),
+        admit.excluded(),
+        PromptPrefix.hash(request),
+        deadlineAtMs);
+  }
+
+  private void release() {
+    if (permit != null) {
+      permit.release(lastTry);
+      suspects.end(request, pool);
+    }
+    permit = null;
+    lastTry = Admission.TryReport.NOT_SENT;
+  }
+
   private RequestEvent dispatch(RequestEffect.Dispatch dispatch) throws IOException {
     ServingGroup group = dispatch.group();
     long nowMs = clock.nowMs();
     if (!state.isFresh(nowMs) || !state.serves(group, nowMs)) {
       return new RequestEvent.GroupGone();
     }
-    if (nowMs >= deadlineAtMs) {
+    long endsAtMs = Math.min(deadlineAtMs, Objects.requireNonNull(permit).endsAtMs());
+    if (nowMs >= endsAtMs) {
       return new RequestEvent.DeadlinePassed();
     }
-    dispatchedMs = nowMs;
-    Outcome outcome = send(group, dispatch.resumeOffset(), deadlineAtMs - nowMs);
+    Outcome outcome = send(group, dispatch.resumeOffset(), nowMs, endsAtMs);
     detail = describe(outcome);
-    completed = outcome.code() == ResultCode.OK;
-    if (completed) {
+    if (outcome.code() == ResultCode.OK) {
+      suspects.answered(request, pool);
       answer.finish();
     } else {
+      suspects.failed(request, pool, group, outcome.code());
       Metrics.RETRIES.labelValues(outcome.code().name()).inc();
       LogEvent.REQUEST_RETRIED.log(LOGGER, request.id(), detail);
     }
     return new RequestEvent.TryEnded(outcome, answer.deliveredEvents());
   }
 
-  private Outcome send(ServingGroup group, int resumeOffset, long leftMs) {
+  private Outcome send(ServingGroup group, int resumeOffset, long nowMs, long endsAtMs) {
+    long leftMs = endsAtMs - nowMs;
     EngineRequest sent =
         new EngineRequest(
             request.id(),
@@ -163,11 +198,14 @@
             leftMs,
             route.idempotent() ? FIRST_BYTE_MS : leftMs,
             PROGRESS_MS);
-    DeadlineSink sink = new DeadlineSink(answer.sink(group), clock, deadlineAtMs);
+    TimedSink sink = new TimedSink(answer.sink(group), clock, endsAtMs);
     Outcome outcome = engine.send(group.entryAddress(), sent, sink);
     if (sink.isLate() && outcome.code() == ResultCode.CANCELLED) {
-      return new Outcome.Unknown(ResultCode.UPSTREAM_TIMEOUT, "deadline passed");
+      outcome = new Outcome.Unknown(ResultCode.UPSTREAM_TIMEOUT, "deadline passed");
     }
+    long firstEventMs = sink.firstPartMs() < 0 ? -1 : sink.firstPartMs() - nowMs;
+    lastTry =
+        new Admission.TryReport(true, outcome.code(), firstEventMs, clock.nowMs() - nowMs);
     return outcome;
   }
 
@@ -194,37 +232,4 @@
     }
     return ((Outcome.Unknown) outcome).detail();
   }
-
-  /** Ends a try whose answer goes on after the deadline. */
-  private static final class DeadlineSink implements AnswerSink {
-
-    private final AnswerSink sink;
-    private final Clock clock;
-    private final long deadlineAtMs;
-    private boolean late;
-
-    DeadlineSink(AnswerSink sink, Clock clock, long deadlineAtMs) {
-      this.sink = sink;
-      this.clock = clock;
-      this.deadlineAtMs = deadlineAtMs;
-    }
-
-    boolean isLate() {
-      return late;
-    }
-
-    @Override
-    public void begin(int status, String contentType) throws CallerGoneException {
-      sink.begin(status, contentType);
-    }
-
-    @Override
-    public void part(byte[] bytes) throws CallerGoneException {
-      if (clock.nowMs() > deadlineAtMs) {
-        late = true;
-        throw new CallerGoneException(new IOException("deadline passed"));
-      }
-      sink.part(bytes);
-    }
-  }
 }
--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/ControlLoops.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/ControlLoops.java
@@ -2,40 +2,76 @@
 
 import com.google.inject.Inject;
 import com.google.inject.Singleton;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.jboss.logging.Logger;
+import org.limpetring.base.LogEvent;
+import org.limpetring.daemon.admission.GatedAdmission;
+import org.limpetring.fleet.node.FleetNode;
 import org.limpetring.groups.control.GroupController;
 
 /** Starts and ends the daemon's control work. */
 @Singleton
 public final class ControlLoops {
 
+  private static final Logger LOGGER = Logger.getLogger(ControlLoops.class);
   private static final long TICK_MS = 250;
+  private static final long ADMISSION_TICK_MS = 25;
   private static final long HOST_POLL_MS = 2_000;
-  private static final long CONFIG_POLL_MS = 1_000;
+  private static final long LEAVE_WAIT_MS = 3_000;
 
   private final DaemonThreads threads;
-  private final PollingFleet fleet;
+  private final PeerHub peers;
+  private final FleetNode node;
   private final HostPoller hosts;
   private final GroupController groups;
+  private final TopicSpread spread;
+  private final GatedAdmission admission;
 
   /** Takes the parts that are to run. */
   @Inject
   public ControlLoops(
-      DaemonThreads threads, PollingFleet fleet, HostPoller hosts, GroupController groups) {
+      DaemonThreads threads,
+      PeerHub peers,
+      FleetNode node,
+      HostPoller hosts,
+      GroupController groups,
+      TopicSpread spread,
+      GatedAdmission admission) {
     this.threads = threads;
-    this.fleet = fleet;
+    this.peers = peers;
+    this.node = node;
     this.hosts = hosts;
     this.groups = groups;
+    this.spread = spread;
+    this.admission = admission;
   }
 
   /** Starts all loops. */
   public void start() {
-    threads.every("configuration", CONFIG_POLL_MS, fleet::poll);
+    spread.start(groups);
+    peers.start();
     threads.every("hosts", HOST_POLL_MS, hosts::poll);
-    threads.every("groups", TICK_MS, groups::tick);
+    threads.every("groups", TICK_MS, this::tickGroups);
+    threads.every("admission", ADMISSION_TICK_MS, admission::tick);
   }
 
   /** Leaves the fleet and ends all loops. */
   public void leave() {
+    try {
+      node.leave().get(LEAVE_WAIT_MS, TimeUnit.MILLISECONDS);
+    } catch (ExecutionException | TimeoutException notHeard) {
+      LogEvent.UNEXPECTED_FAILURE.log(LOGGER, "leaving the roster", notHeard);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
     threads.close();
+    node.close();
+  }
+
+  private void tickGroups() {
+    groups.tick();
+    spread.spreadObservation(groups);
   }
 }
--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/DaemonModule.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/DaemonModule.java
@@ -6,18 +6,12 @@
 import java.util.UUID;
 import org.limpetring.base.Clock;
 import org.limpetring.base.DaemonId;
-import org.limpetring.daemon.caller.Admission;
-import org.limpetring.daemon.caller.ChoosingAdmission;
-import org.limpetring.daemon.caller.ClaimPort;
-import org.limpetring.daemon.caller.Claims;
 import org.limpetring.daemon.caller.DaemonState;
 import org.limpetring.daemon.caller.InProgress;
-import org.limpetring.daemon.caller.ShardedClaims;
 import org.limpetring.daemon.settings.DaemonSettings;
 import org.limpetring.engine.EnginePort;
 import org.limpetring.engine.http.EngineSettings;
 import org.limpetring.engine.http.HttpEnginePort;
-import org.limpetring.routing.request.RetryPermit;
 
 /** The daemon: platform, fleet, groups and request path. */
 public final class DaemonModule extends AbstractModule {
@@ -34,18 +28,14 @@
   @Override
   protected void configure() {
     install(new PlatformModule());
+    install(new FleetModule());
     install(new GroupsModule());
+    install(new RoutingModule());
     bind(DaemonSettings.class).toInstance(settings);
     bind(InProgress.class).toInstance(new InProgress());
-    bind(PollingFleet.class).in(Singleton.class);
-    bind(FleetPort.class).to(PollingFleet.class);
     bind(HostPoller.class).in(Singleton.class);
     bind(LiveState.class).in(Singleton.class);
     bind(DaemonState.class).to(LiveState.class);
-    bind(LocalClaims.class).in(Singleton.class);
-    bind(ClaimPort.class).to(LocalClaims.class);
-    bind(Claims.class).to(ShardedClaims.class).in(Singleton.class);
-    bind(Admission.class).to(ChoosingAdmission.class).in(Singleton.class);
   }
 
   @Provides
@@ -66,10 +56,4 @@
   EnginePort engine() {
     return new HttpEnginePort(EngineSettings.DEFAULT);
   }
-
-  @Provides
-  @Singleton
-  RetryPermit retryPermit() {
-    return nowMs -> true;
-  }
 }
--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/FleetPort.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/FleetPort.java
@@ -1,6 +1,7 @@
 package org.limpetring.daemon.wiring;
 
 import org.limpetring.fleet.Role;
+import org.limpetring.fleet.Roster;
 import org.limpetring.tables.AcceptedConfig;
 
 /** What the daemon takes from the fleet of daemons; each call answers from memory. */
@@ -15,6 +16,12 @@
   /** Whether this daemon could have learnt of a change lately enough to take new work. */
   boolean isFresh(long nowMs);
 
+  /** The daemons that share the control work. */
+  Roster roster();
+
+  /** Whether holders of roles under earlier rosters have surely stopped acting. */
+  boolean earlierRolesOver(long nowMs);
+
   /** Whether this daemon holds {@code role} now. */
   boolean holds(Role role, long nowMs);
 }
--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/PlatformModule.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/PlatformModule.java
@@ -4,6 +4,14 @@
 import com.google.inject.Provides;
 import com.google.inject.Singleton;
 import org.limpetring.daemon.settings.DaemonSettings;
+import org.limpetring.base.Clock;
+import org.limpetring.peer.PeerTransport;
+import org.limpetring.peer.relay.DirectPath;
+import org.limpetring.peer.relay.PlatformRelay;
+import org.limpetring.peer.relay.RelayingObjectStore;
+import org.limpetring.platform.client.BudgetedObjectStore;
+import org.limpetring.platform.client.CallBudget;
+import org.limpetring.platform.client.Pause;
 import org.limpetring.platform.HostList;
 import org.limpetring.platform.ObjectStore;
 import org.limpetring.platform.WeightStore;
@@ -16,6 +24,12 @@
 /** The platform over HTTP. */
 public final class PlatformModule extends AbstractModule {
 
+  private static final int BURST_CALLS = 50;
+  private static final int CALLS_PER_SECOND = 50;
+  private static final long MAX_BUDGET_WAIT_MS = 1_000;
+  private static final long DIRECT_RETRY_MS = 1_000;
+  private static final long RELAY_TIMEOUT_MS = 2_500;
+
   @Provides
   @Singleton
   HttpPlatformClient client(DaemonSettings settings) {
@@ -24,8 +38,32 @@
 
   @Provides
   @Singleton
-  ObjectStore objectStore(HttpPlatformClient client) {
-    return new HttpObjectStore(client);
+  BudgetedObjectStore directStore(HttpPlatformClient client, Clock clock) {
+    return new BudgetedObjectStore(
+        new HttpObjectStore(client),
+        new CallBudget(BURST_CALLS, CALLS_PER_SECOND, clock.nowMs()),
+        clock,
+        Pause.sleeping(),
+        MAX_BUDGET_WAIT_MS);
+  }
+
+  @Provides
+  @Singleton
+  DirectPath directPath(Clock clock) {
+    return new DirectPath(clock, DIRECT_RETRY_MS);
+  }
+
+  @Provides
+  @Singleton
+  ObjectStore objectStore(
+      BudgetedObjectStore direct, DirectPath path, PeerTransport transport, Carriers carriers) {
+    return new RelayingObjectStore(direct, path, transport, carriers::shuffled, RELAY_TIMEOUT_MS);
+  }
+
+  @Provides
+  @Singleton
+  PlatformRelay relay(BudgetedObjectStore direct, DirectPath path) {
+    return new PlatformRelay(direct, path);
   }
 
   @Provides
--- a/limpetd/src/test/java/org/limpetring/daemon/caller/RequestDriverTest.java
+++ b/limpetd/src/test/java/org/limpetring/daemon/caller/RequestDriverTest.java
@@ -22,8 +22,12 @@
 import org.limpetring.base.ResultCode;
 import org.limpetring.base.RouteName;
 import org.limpetring.base.RunState;
+import org.limpetring.daemon.admission.NoticePort;
 import org.limpetring.groups.ServingGroup;
 import org.limpetring.routing.choose.GroupIndex;
+import org.limpetring.routing.cold.ColdNotice;
+import org.limpetring.routing.poison.CrashNotice;
+import org.limpetring.routing.poison.PoisonBook;
 import org.limpetring.routing.request.RequestEvent;
 import org.limpetring.routing.request.RequestMachine;
 import org.limpetring.routing.request.RequestTraits;
@@ -112,6 +116,7 @@
             engine,
             new AnyGroup(),
             new AlwaysGranted(),
+            new Suspects(new PoisonBook(100, clock), new NoNotices()),
             new FixedState(),
             new RequestMachine(traits, nowMs -> true),
             request,
@@ -169,7 +174,7 @@
 
     @Override
     public Result admit(Ask ask) {
-      return new Result.Admitted(
+      ServingGroup group =
           new ServingGroup(
               new GroupId("g" + ask.excluded().size()),
               new PoolName("p"),
@@ -179,11 +184,24 @@
               new FailureDomain("north"),
               "i",
               false,
-              0));
+              0);
+      return new Result.Admitted(new AnyPermit(group, ask.deadlineAtMs()));
     }
+  }
+
+  private record AnyPermit(ServingGroup group, long endsAtMs) implements Admission.Permit {
+
+    @Override
+    public void release(Admission.TryReport report) {}
+  }
+
+  private static final class NoNotices implements NoticePort {
+
+    @Override
+    public void spread(ColdNotice notice) {}
 
     @Override
-    public void release(ServingGroup group, long tookMs, boolean completed) {}
+    public void spread(CrashNotice notice) {}
   }
 
   private static final class AlwaysGranted implements Claims {
