--- a/limpet-fleet/src/main/java/org/limpetring/fleet/Role.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/Role.java
@@ -80,6 +80,11 @@
 
   /** The holders among {@code daemons}, strongest first. */
   public List<DaemonId> holders(Collection<DaemonId> daemons) {
-    return Rendezvous.owners(kind + "/" + subject, daemons, kind.holders());
+    return ranked(daemons, kind.holders());
+  }
+
+  /** The first {@code count} candidates among {@code daemons}, strongest first. */
+  public List<DaemonId> ranked(Collection<DaemonId> daemons, int count) {
+    return Rendezvous.owners(kind + "/" + subject, daemons, count);
   }
 }
--- a/limpet-fleet/src/main/java/org/limpetring/fleet/config/ConfigMachine.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/config/ConfigMachine.java
@@ -79,13 +79,18 @@
     }
   }
 
+  /** Whether a join would start if this daemon is in contact. */
+  public boolean isDue(long nowMs) {
+    return !isBusy && nowMs >= joinDueMs;
+  }
+
   /**
    * Starts a due join.
    *
    * @param inContact whether most of the roster would hear of a new generation at once
    */
   public List<ConfigEffect> onTick(boolean inContact, long nowMs) {
-    if (isBusy || !inContact || nowMs < joinDueMs) {
+    if (!inContact || !isDue(nowMs)) {
       return List.of();
     }
     isBusy = true;
--- /dev/null
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/node/FleetEffect.java
@@ -0,0 +1,44 @@
+package org.limpetring.fleet.node;
+
+import java.util.Set;
+import org.limpetring.base.DaemonId;
+import org.limpetring.fleet.DaemonEntry;
+import org.limpetring.fleet.config.ConfigEffect;
+import org.limpetring.fleet.roster.RosterEffect;
+import org.limpetring.fleet.spread.TopicState;
+
+/** What the machine of one daemon asks its runner to do. */
+public sealed interface FleetEffect {
+
+  /** Send a message. */
+  record Send(DaemonEntry to, FleetMessage message) implements FleetEffect {}
+
+  /** Read {@code accepted}, the tables and the marks. */
+  record ReadForJoin() implements FleetEffect {}
+
+  /** Write {@code accepted}. */
+  record WriteAccepted(ConfigEffect.WriteAccepted write) implements FleetEffect {}
+
+  /** Read the roster in order to change it. */
+  record ReadRoster() implements FleetEffect {}
+
+  /** Write the roster. */
+  record WriteRoster(RosterEffect.WriteRoster write) implements FleetEffect {}
+
+  /** Read {@code accepted} and the roster once, because nobody else told of them. */
+  record ReadNewest() implements FleetEffect {}
+
+  /** Keep exactly these prefixes watched. */
+  record Watch(Set<String> prefixes) implements FleetEffect {
+    /** Copies the set. */
+    public Watch {
+      prefixes = Set.copyOf(prefixes);
+    }
+  }
+
+  /** Hand a value to the listeners of its topic. */
+  record Deliver(TopicState state) implements FleetEffect {}
+
+  /** This daemon was evicted; go on under a new id. */
+  record Evicted(DaemonId former) implements FleetEffect {}
+}
--- /dev/null
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/node/PlatformWatches.java
@@ -0,0 +1,138 @@
+package org.limpetring.fleet.node;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ForkJoinPool;
+import java.util.function.Consumer;
+import org.limpetring.base.Clock;
+import org.limpetring.fleet.roster.RosterMachine;
+import org.limpetring.platform.ObjectStore;
+import org.limpetring.platform.StoredObject;
+import org.limpetring.platform.WatchResult;
+import org.limpetring.platform.client.Backoff;
+import org.limpetring.platform.client.ObjectListener;
+import org.limpetring.platform.client.ObjectWatcher;
+import org.limpetring.platform.client.Pause;
+import org.limpetring.tables.ConfigKeys;
+
+/** Runs the platform watches that a fleet machine asks for, one thread each. */
+final class PlatformWatches implements AutoCloseable {
+
+  private static final long FIRST_BACKOFF_MS = 200;
+  private static final long MAX_BACKOFF_MS = 2_000;
+
+  private final ObjectStore store;
+  private final Clock clock;
+  private final long waitMs;
+  private final long seed;
+  private final Consumer<Event> sink;
+  private final Map<String, ObjectWatcher> watchers = new HashMap<>();
+  private final Map<String, Long> confirmedAtMs = new HashMap<>();
+
+  /** What a watch brought, to be passed to the machine on its own thread. */
+  @FunctionalInterface
+  interface Event {
+    /** Passes the event on. */
+    List<FleetEffect> deliver(FleetMachine machine, long nowMs);
+  }
+
+  PlatformWatches(ObjectStore store, Clock clock, long waitMs, long seed, Consumer<Event> sink) {
+    this.store = store;
+    this.clock = clock;
+    this.waitMs = waitMs;
+    this.seed = seed;
+    this.sink = sink;
+  }
+
+  /** Starts and stops watches so that exactly {@code prefixes} are watched. */
+  void keep(Set<String> prefixes) {
+    for (String prefix : List.copyOf(watchers.keySet())) {
+      ObjectWatcher watcher = watchers.get(prefix);
+      if (watcher != null && !prefixes.contains(prefix)) {
+        watchers.remove(prefix);
+        confirmedAtMs.remove(prefix);
+        // Closing waits for a running call, which the machine's thread must not.
+        ForkJoinPool.commonPool().execute(watcher::close);
+      }
+    }
+    for (String prefix : prefixes) {
+      if (!watchers.containsKey(prefix)) {
+        Backoff backoff = new Backoff(FIRST_BACKOFF_MS, MAX_BACKOFF_MS, seed);
+        ObjectWatcher watcher =
+            new ObjectWatcher(
+                store, prefix, new Listener(prefix), clock, Pause.sleeping(), backoff, waitMs);
+        watchers.put(prefix, watcher);
+        watcher.start();
+      }
+    }
+  }
+
+  @Override
+  public void close() {
+    watchers.values().forEach(ObjectWatcher::close);
+    watchers.clear();
+  }
+
+  /** Runs on the machine's thread, after the changes that the confirmation covers. */
+  private void confirm(FleetMachine machine, String prefix, long atMs) {
+    confirmedAtMs.put(prefix, atMs);
+    Long accepted = confirmedAtMs.get(ConfigKeys.ACCEPTED);
+    Long roster = confirmedAtMs.get(RosterMachine.KEY);
+    if (accepted != null && roster != null) {
+      machine.onPlatformConfirmed(Math.min(accepted, roster));
+    }
+  }
+
+  private final class Listener implements ObjectListener {
+    private final String prefix;
+
+    Listener(String prefix) {
+      this.prefix = prefix;
+    }
+
+    @Override
+    public void onSnapshot(List<StoredObject> objects, long revision) {
+      sink.accept(
+          (machine, nowMs) -> {
+            List<FleetEffect> effects = new ArrayList<>();
+            for (StoredObject object : objects) {
+              effects.addAll(machine.onStored(object.key(), object.value(), nowMs));
+            }
+            noteSources(machine, revision, nowMs);
+            return effects;
+          });
+    }
+
+    @Override
+    public void onChange(WatchResult.Change change) {
+      sink.accept(
+          (machine, nowMs) -> {
+            noteSources(machine, change.version(), nowMs);
+            return change.deleted()
+                ? List.of()
+                : machine.onStored(change.key(), change.value(), nowMs);
+          });
+    }
+
+    @Override
+    public void onConfirmed(long atMs) {
+      // A watch that came back early and empty may have seen the platform only at its start.
+      sink.accept(
+          (machine, nowMs) -> {
+            confirm(machine, prefix, atMs - waitMs);
+            return List.of();
+          });
+    }
+
+    private void noteSources(FleetMachine machine, long revision, long nowMs) {
+      boolean isSource =
+          prefix.equals(ConfigKeys.TABLES_PREFIX) || prefix.equals(ConfigKeys.SERVICE_PREFIX);
+      if (isSource) {
+        machine.onSourcesChanged(revision, nowMs);
+      }
+    }
+  }
+}
--- a/limpet-fleet/src/main/java/org/limpetring/fleet/role/RoleKeeper.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/role/RoleKeeper.java
@@ -1,6 +1,7 @@
 package org.limpetring.fleet.role;
 
 import java.util.ArrayList;
+import java.util.BitSet;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
@@ -72,9 +73,36 @@
     if (epoch > epochSeen.getOrDefault(daemon, 0L)) {
       epochSeen.put(daemon, epoch);
     }
-    for (Map.Entry<Long, Pending> entry : pending.entrySet()) {
-      countAcknowledgements(entry.getKey(), entry.getValue(), nowMs);
+    countAcknowledgements(nowMs);
+  }
+
+  /** Whether an older epoch may not be over yet. */
+  public boolean isWaiting() {
+    return !pending.isEmpty();
+  }
+
+  /** Daemons of the roster, by place in sorted order, that have learnt its epoch. */
+  public BitSet seen() {
+    BitSet seen = new BitSet();
+    List<DaemonId> ids = record.roster().ids();
+    for (int index = 0; index < ids.size(); index++) {
+      seen.set(index, epochSeen.getOrDefault(ids.get(index), 0L) >= record.epoch());
     }
+    return seen;
+  }
+
+  /** Takes what a peer at {@code epoch} has found with {@link #seen}. */
+  public void onSeen(BitSet seen, long epoch, long nowMs) {
+    if (epoch != record.epoch()) {
+      return;
+    }
+    List<DaemonId> ids = record.roster().ids();
+    for (int index = seen.nextSetBit(0); index >= 0; index = seen.nextSetBit(index + 1)) {
+      if (index < ids.size()) {
+        epochSeen.merge(ids.get(index), epoch, Math::max);
+      }
+    }
+    countAcknowledgements(nowMs);
   }
 
   /** Forgets epochs that are over; returns the newest epoch up to which all are. */
@@ -107,6 +135,12 @@
     return new RoleView(self, isReleased, record, settings, confirmedAtMs, platformAtMs, waits);
   }
 
+  private void countAcknowledgements(long nowMs) {
+    for (Map.Entry<Long, Pending> entry : pending.entrySet()) {
+      countAcknowledgements(entry.getKey(), entry.getValue(), nowMs);
+    }
+  }
+
   private void countAcknowledgements(long epoch, Pending older, long nowMs) {
     if (older.majorityAtMs != NEVER_MS) {
       return;
--- a/limpet-fleet/src/main/java/org/limpetring/fleet/roster/RosterMachine.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/roster/RosterMachine.java
@@ -87,14 +87,19 @@
     losses.remove(daemon);
   }
 
-  /** Whether {@code daemon} should ask others to write rather than wait for its own turn. */
+  /** Daemons that write first; others tell them their wishes. */
   public List<DaemonId> writers() {
     return Rendezvous.owners(KEY, candidates(), MAX_RANK);
   }
 
+  /** Whether a write would start now. */
+  public boolean isDue(long nowMs) {
+    return !isBusy && nowMs >= dueMs && nowMs >= writeAllowedMs;
+  }
+
   /** Starts a due write. */
   public List<RosterEffect> onTick(long nowMs) {
-    if (isBusy || nowMs < dueMs || nowMs < writeAllowedMs) {
+    if (!isDue(nowMs)) {
       return List.of();
     }
     isBusy = true;
--- a/limpet-peer/src/main/java/org/limpetring/peer/proto/AckOrBuilder.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/proto/AckOrBuilder.java
@@ -21,4 +21,46 @@
    * @return The rosterEpoch.
    */
   long getRosterEpoch();
+
+  /**
+   * <code>string target = 3;</code>
+   * @return The target.
+   */
+  java.lang.String getTarget();
+  /**
+   * <code>string target = 3;</code>
+   * @return The bytes for target.
+   */
+  com.google.protobuf.ByteString
+      getTargetBytes();
+
+  /**
+   * <code>uint64 number = 4;</code>
+   * @return The number.
+   */
+  long getNumber();
+
+  /**
+   * <code>repeated .limpetring.peer.MemberNews news = 5;</code>
+   */
+  java.util.List<org.limpetring.peer.proto.MemberNews> 
+      getNewsList();
+  /**
+   * <code>repeated .limpetring.peer.MemberNews news = 5;</code>
+   */
+  org.limpetring.peer.proto.MemberNews getNews(int index);
+  /**
+   * <code>repeated .limpetring.peer.MemberNews news = 5;</code>
+   */
+  int getNewsCount();
+  /**
+   * <code>repeated .limpetring.peer.MemberNews news = 5;</code>
+   */
+  java.util.List<? extends org.limpetring.peer.proto.MemberNewsOrBuilder> 
+      getNewsOrBuilderList();
+  /**
+   * <code>repeated .limpetring.peer.MemberNews news = 5;</code>
+   */
+  org.limpetring.peer.proto.MemberNewsOrBuilder getNewsOrBuilder(
+      int index);
 }
--- a/limpet-peer/src/main/java/org/limpetring/peer/proto/Envelope.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/proto/Envelope.java
@@ -73,6 +73,7 @@
     COLD_PERMIT_RESPONSE(21),
     PLATFORM_RELAY_REQUEST(22),
     PLATFORM_RELAY_RESPONSE(23),
+    ROSTER_WISH(24),
     BODY_NOT_SET(0);
     private final int value;
     private BodyCase(int value) {
@@ -104,6 +105,7 @@
         case 21: return COLD_PERMIT_RESPONSE;
         case 22: return PLATFORM_RELAY_REQUEST;
         case 23: return PLATFORM_RELAY_RESPONSE;
+        case 24: return ROSTER_WISH;
         case 0: return BODY_NOT_SET;
         default: return null;
       }
@@ -630,6 +632,37 @@
     return org.limpetring.peer.proto.PlatformRelayResponse.getDefaultInstance();
   }
 
+  public static final int ROSTER_WISH_FIELD_NUMBER = 24;
+  /**
+   * <code>.limpetring.peer.RosterWish roster_wish = 24;</code>
+   * @return Whether the rosterWish field is set.
+   */
+  @java.lang.Override
+  public boolean hasRosterWish() {
+    return bodyCase_ == 24;
+  }
+  /**
+   * <code>.limpetring.peer.RosterWish roster_wish = 24;</code>
+   * @return The rosterWish.
+   */
+  @java.lang.Override
+  public org.limpetring.peer.proto.RosterWish getRosterWish() {
+    if (bodyCase_ == 24) {
+       return (org.limpetring.peer.proto.RosterWish) body_;
+    }
+    return org.limpetring.peer.proto.RosterWish.getDefaultInstance();
+  }
+  /**
+   * <code>.limpetring.peer.RosterWish roster_wish = 24;</code>
+   */
+  @java.lang.Override
+  public org.limpetring.peer.proto.RosterWishOrBuilder getRosterWishOrBuilder() {
+    if (bodyCase_ == 24) {
+       return (org.limpetring.peer.proto.RosterWish) body_;
+    }
+    return org.limpetring.peer.proto.RosterWish.getDefaultInstance();
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -695,6 +728,9 @@
     if (bodyCase_ == 23) {
       output.writeMessage(23, (org.limpetring.peer.proto.PlatformRelayResponse) body_);
     }
+    if (bodyCase_ == 24) {
+      output.writeMessage(24, (org.limpetring.peer.proto.RosterWish) body_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -766,6 +802,10 @@
       size += com.google.protobuf.CodedOutputStream
         .computeMessageSize(23, (org.limpetring.peer.proto.PlatformRelayResponse) body_);
     }
+    if (bodyCase_ == 24) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(24, (org.limpetring.peer.proto.RosterWish) body_);
+    }
     return size;
   }
   @java.lang.Override
@@ -854,6 +894,10 @@
         if (!getPlatformRelayResponse()
             .equals(other.getPlatformRelayResponse())) return false;
         break;
+      case 24:
+        if (!getRosterWish()
+            .equals(other.getRosterWish())) return false;
+        break;
       case 0:
       default:
     }
@@ -933,6 +977,10 @@
         hash = (37 * hash) + PLATFORM_RELAY_RESPONSE_FIELD_NUMBER;
         hash = (53 * hash) + getPlatformRelayResponse().hashCode();
         break;
+      case 24:
+        hash = (37 * hash) + ROSTER_WISH_FIELD_NUMBER;
+        hash = (53 * hash) + getRosterWish().hashCode();
+        break;
       case 0:
       default:
     }
@@ -1116,6 +1164,9 @@
       if (platformRelayResponseBuilder_ != null) {
         platformRelayResponseBuilder_.clear();
       }
+      if (rosterWishBuilder_ != null) {
+        rosterWishBuilder_.clear();
+      }
       bodyCase_ = 0;
       body_ = null;
       return this;
@@ -1222,6 +1273,10 @@
           platformRelayResponseBuilder_ != null) {
         result.body_ = platformRelayResponseBuilder_.build();
       }
+      if (bodyCase_ == 24 &&
+          rosterWishBuilder_ != null) {
+        result.body_ = rosterWishBuilder_.build();
+      }
     }
 
     @java.lang.Override
@@ -1304,6 +1359,10 @@
           mergePlatformRelayResponse(other.getPlatformRelayResponse());
           break;
         }
+        case ROSTER_WISH: {
+          mergeRosterWish(other.getRosterWish());
+          break;
+        }
         case BODY_NOT_SET: {
           break;
         }
@@ -1445,6 +1504,13 @@
               bodyCase_ = 23;
               break;
             } // case 186
+            case 194: {
+              input.readMessage(
+                  internalGetRosterWishFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bodyCase_ = 24;
+              break;
+            } // case 194
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -3617,6 +3683,146 @@
       return platformRelayResponseBuilder_;
     }
 
+    private com.google.protobuf.SingleFieldBuilder<
+        org.limpetring.peer.proto.RosterWish, org.limpetring.peer.proto.RosterWish.Builder, org.limpetring.peer.proto.RosterWishOrBuilder> rosterWishBuilder_;
+    /**
+     * <code>.limpetring.peer.RosterWish roster_wish = 24;</code>
+     * @return Whether the rosterWish field is set.
+     */
+    @java.lang.Override
+    public boolean hasRosterWish() {
+      return bodyCase_ == 24;
+    }
+    /**
+     * <code>.limpetring.peer.RosterWish roster_wish = 24;</code>
+     * @return The rosterWish.
+     */
+    @java.lang.Override
+    public org.limpetring.peer.proto.RosterWish getRosterWish() {
+      if (rosterWishBuilder_ == null) {
+        if (bodyCase_ == 24) {
+          return (org.limpetring.peer.proto.RosterWish) body_;
+        }
+        return org.limpetring.peer.proto.RosterWish.getDefaultInstance();
+      } else {
+        if (bodyCase_ == 24) {
+          return rosterWishBuilder_.getMessage();
+        }
+        return org.limpetring.peer.proto.RosterWish.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.limpetring.peer.RosterWish roster_wish = 24;</code>
+     */
+    public Builder setRosterWish(org.limpetring.peer.proto.RosterWish value) {
+      if (rosterWishBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        body_ = value;
+        onChanged();
+      } else {
+        rosterWishBuilder_.setMessage(value);
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.limpetring.peer.RosterWish roster_wish = 24;</code>
+     */
+    public Builder setRosterWish(
+        org.limpetring.peer.proto.RosterWish.Builder builderForValue) {
+      if (rosterWishBuilder_ == null) {
+        body_ = builderForValue.build();
+        onChanged();
+      } else {
+        rosterWishBuilder_.setMessage(builderForValue.build());
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.limpetring.peer.RosterWish roster_wish = 24;</code>
+     */
+    public Builder mergeRosterWish(org.limpetring.peer.proto.RosterWish value) {
+      if (rosterWishBuilder_ == null) {
+        if (bodyCase_ == 24 &&
+            body_ != org.limpetring.peer.proto.RosterWish.getDefaultInstance()) {
+          body_ = org.limpetring.peer.proto.RosterWish.newBuilder((org.limpetring.peer.proto.RosterWish) body_)
+              .mergeFrom(value).buildPartial();
+        } else {
+          body_ = value;
+        }
+        onChanged();
+      } else {
+        if (bodyCase_ == 24) {
+          rosterWishBuilder_.mergeFrom(value);
+        } else {
+          rosterWishBuilder_.setMessage(value);
+        }
+      }
+      bodyCase_ = 24;
+      return this;
+    }
+    /**
+     * <code>.limpetring.peer.RosterWish roster_wish = 24;</code>
+     */
+    public Builder clearRosterWish() {
+      if (rosterWishBuilder_ == null) {
+        if (bodyCase_ == 24) {
+          bodyCase_ = 0;
+          body_ = null;
+          onChanged();
+        }
+      } else {
+        if (bodyCase_ == 24) {
+          bodyCase_ = 0;
+          body_ = null;
+        }
+        rosterWishBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>.limpetring.peer.RosterWish roster_wish = 24;</code>
+     */
+    public org.limpetring.peer.proto.RosterWish.Builder getRosterWishBuilder() {
+      return internalGetRosterWishFieldBuilder().getBuilder();
+    }
+    /**
+     * <code>.limpetring.peer.RosterWish roster_wish = 24;</code>
+     */
+    @java.lang.Override
+    public org.limpetring.peer.proto.RosterWishOrBuilder getRosterWishOrBuilder() {
+      if ((bodyCase_ == 24) && (rosterWishBuilder_ != null)) {
+        return rosterWishBuilder_.getMessageOrBuilder();
+      } else {
+        if (bodyCase_ == 24) {
+          return (org.limpetring.peer.proto.RosterWish) body_;
+        }
+        return org.limpetring.peer.proto.RosterWish.getDefaultInstance();
+      }
+    }
+    /**
+     * <code>.limpetring.peer.RosterWish roster_wish = 24;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.limpetring.peer.proto.RosterWish, org.limpetring.peer.proto.RosterWish.Builder, org.limpetring.peer.proto.RosterWishOrBuilder> 
+        internalGetRosterWishFieldBuilder() {
+      if (rosterWishBuilder_ == null) {
+        if (!(bodyCase_ == 24)) {
+          body_ = org.limpetring.peer.proto.RosterWish.getDefaultInstance();
+        }
+        rosterWishBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.limpetring.peer.proto.RosterWish, org.limpetring.peer.proto.RosterWish.Builder, org.limpetring.peer.proto.RosterWishOrBuilder>(
+                (org.limpetring.peer.proto.RosterWish) body_,
+                getParentForChildren(),
+                isClean());
+        body_ = null;
+      }
+      bodyCase_ = 24;
+      onChanged();
+      return rosterWishBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetring.peer.Envelope)
   }
 
--- a/limpet-peer/src/main/java/org/limpetring/peer/proto/EnvelopeOrBuilder.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/proto/EnvelopeOrBuilder.java
@@ -260,5 +260,20 @@
    */
   org.limpetring.peer.proto.PlatformRelayResponseOrBuilder getPlatformRelayResponseOrBuilder();
 
+  /**
+   * <code>.limpetring.peer.RosterWish roster_wish = 24;</code>
+   * @return Whether the rosterWish field is set.
+   */
+  boolean hasRosterWish();
+  /**
+   * <code>.limpetring.peer.RosterWish roster_wish = 24;</code>
+   * @return The rosterWish.
+   */
+  org.limpetring.peer.proto.RosterWish getRosterWish();
+  /**
+   * <code>.limpetring.peer.RosterWish roster_wish = 24;</code>
+   */
+  org.limpetring.peer.proto.RosterWishOrBuilder getRosterWishOrBuilder();
+
   org.limpetring.peer.proto.Envelope.BodyCase getBodyCase();
 }
--- a/limpet-peer/src/main/java/org/limpetring/peer/proto/Peer.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/proto/Peer.java
@@ -51,6 +51,21 @@
   static final 
     com.google.protobuf.GeneratedMessage.FieldAccessorTable
       internal_static_limpetring_peer_Ack_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_limpetring_peer_MemberNews_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_limpetring_peer_MemberNews_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_limpetring_peer_DaemonRecord_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_limpetring_peer_DaemonRecord_fieldAccessorTable;
+  static final com.google.protobuf.Descriptors.Descriptor
+    internal_static_limpetring_peer_RosterWish_descriptor;
+  static final 
+    com.google.protobuf.GeneratedMessage.FieldAccessorTable
+      internal_static_limpetring_peer_RosterWish_fieldAccessorTable;
   static final com.google.protobuf.Descriptors.Descriptor
     internal_static_limpetring_peer_VersionExchange_descriptor;
   static final 
@@ -120,7 +135,7 @@
       descriptor;
   static {
     java.lang.String[] descriptorData = {
-      "\n\npeer.proto\022\017limpetring.peer\"\336\006\n\010Envelo" +
+      "\n\npeer.proto\022\017limpetring.peer\"\222\007\n\010Envelo" +
       "pe\022\016\n\006sender\030\001 \001(\t\022\023\n\013correlation\030\002 \001(\004\022" +
       "\020\n\010response\030\003 \001(\010\022/\n\theartbeat\030\n \001(\0132\032.l" +
       "impetring.peer.HeartbeatH\000\022%\n\004ping\030\013 \001(\013" +
@@ -142,53 +157,74 @@
       "uest\030\026 \001(\0132%.limpetring.peer.PlatformRel" +
       "ayRequestH\000\022I\n\027platform_relay_response\030\027" +
       " \001(\0132&.limpetring.peer.PlatformRelayResp" +
-      "onseH\000B\006\n\004body\"\013\n\tHeartbeat\",\n\004Ping\022\016\n\006t" +
-      "arget\030\001 \001(\t\022\024\n\014roster_epoch\030\002 \001(\004\"[\n\013Pin" +
-      "gRequest\022\016\n\006target\030\001 \001(\t\022\021\n\ttarget_ip\030\002 " +
-      "\001(\t\022\023\n\013target_port\030\003 \001(\r\022\024\n\014roster_epoch" +
-      "\030\004 \001(\004\",\n\003Ack\022\017\n\007reached\030\001 \001(\010\022\024\n\014roster" +
-      "_epoch\030\002 \001(\004\"Z\n\017VersionExchange\022-\n\006topic" +
-      "s\030\001 \003(\0132\035.limpetring.peer.TopicVersion\022\030" +
-      "\n\020confirmed_age_ms\030\002 \001(\004\">\n\014TopicVersion" +
-      "\022\r\n\005topic\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\016\n\006age_" +
-      "ms\030\003 \001(\004\"L\n\tStatePush\022\r\n\005topic\030\001 \001(\t\022\017\n\007" +
-      "version\030\002 \001(\004\022\017\n\007payload\030\003 \001(\014\022\016\n\006age_ms" +
-      "\030\004 \001(\004\"+\n\tStatePull\022\r\n\005topic\030\001 \001(\t\022\017\n\007ve" +
-      "rsion\030\002 \001(\004\"\032\n\tRosterAck\022\r\n\005epoch\030\001 \001(\004\"" +
-      "\212\001\n\014ClaimRequest\022\r\n\005shard\030\001 \001(\r\022\013\n\003key\030\002" +
-      " \001(\t\022\033\n\023request_fingerprint\030\003 \001(\014\022\017\n\007att" +
-      "empt\030\004 \001(\t\022\024\n\014roster_epoch\030\005 \001(\004\022\032\n\022firs" +
-      "t_sent_wall_ms\030\006 \001(\004\"\225\002\n\rClaimResponse\0227" +
-      "\n\007verdict\030\001 \001(\0162&.limpetring.peer.ClaimR" +
-      "esponse.Verdict\022\026\n\016holder_attempt\030\002 \001(\t\022" +
-      "\024\n\014roster_epoch\030\003 \001(\004\"\234\001\n\007Verdict\022\027\n\023VER" +
-      "DICT_UNSPECIFIED\020\000\022\013\n\007GRANTED\020\001\022\023\n\017ALREA" +
-      "DY_CLAIMED\020\002\022\030\n\024FINGERPRINT_MISMATCH\020\003\022\017" +
-      "\n\013KEY_TOO_OLD\020\004\022\r\n\tNOT_OWNER\020\005\022\017\n\013UNAVAI" +
-      "LABLE\020\006\022\013\n\007UNKNOWN\020\007\"h\n\021ColdPermitReques" +
-      "t\022\r\n\005group\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\r\n\005count" +
-      "\030\003 \001(\r\022\020\n\010returned\030\004 \001(\r\022\024\n\014roster_epoch" +
-      "\030\005 \001(\004\"M\n\022ColdPermitResponse\022\017\n\007granted\030" +
-      "\001 \001(\r\022\020\n\010valid_ms\030\002 \001(\004\022\024\n\014roster_epoch\030" +
-      "\003 \001(\004\"\200\002\n\024PlatformRelayRequest\0228\n\004kind\030\001" +
-      " \001(\0162*.limpetring.peer.PlatformRelayRequ" +
-      "est.Kind\022\013\n\003key\030\002 \001(\t\022\r\n\005value\030\003 \001(\t\022\030\n\020" +
-      "expected_version\030\004 \001(\004\022\026\n\016after_revision" +
-      "\030\005 \001(\004\022\017\n\007wait_ms\030\006 \001(\004\"O\n\004Kind\022\024\n\020KIND_" +
-      "UNSPECIFIED\020\000\022\007\n\003GET\020\001\022\010\n\004LIST\020\002\022\007\n\003PUT\020" +
-      "\003\022\n\n\006DELETE\020\004\022\t\n\005WATCH\020\005\"\326\002\n\025PlatformRel" +
-      "ayResponse\022=\n\006result\030\001 \001(\0162-.limpetring." +
-      "peer.PlatformRelayResponse.Result\022/\n\007obj" +
-      "ects\030\002 \003(\0132\036.limpetring.peer.RelayedObje" +
-      "ct\022\017\n\007version\030\003 \001(\004\022\020\n\010revision\030\004 \001(\004\022\016\n" +
-      "\006reason\030\005 \001(\t\"\231\001\n\006Result\022\026\n\022RESULT_UNSPE" +
-      "CIFIED\020\000\022\t\n\005FOUND\020\001\022\013\n\007MISSING\020\002\022\n\n\006LIST" +
-      "ED\020\003\022\013\n\007WRITTEN\020\004\022\014\n\010CONFLICT\020\005\022\013\n\007CHANG" +
-      "ES\020\006\022\r\n\tCOMPACTED\020\007\022\017\n\013UNAVAILABLE\020\010\022\013\n\007" +
-      "UNKNOWN\020\t\"M\n\rRelayedObject\022\013\n\003key\030\001 \001(\t\022" +
-      "\r\n\005value\030\002 \001(\t\022\017\n\007version\030\003 \001(\004\022\017\n\007delet" +
-      "ed\030\004 \001(\010B\035\n\031org.limpetring.peer.protoP\001b" +
-      "\006proto3"
+      "onseH\000\0222\n\013roster_wish\030\030 \001(\0132\033.limpetring" +
+      ".peer.RosterWishH\000B\006\n\004body\"\013\n\tHeartbeat\"" +
+      "g\n\004Ping\022\016\n\006target\030\001 \001(\t\022\024\n\014roster_epoch\030" +
+      "\002 \001(\004\022\016\n\006number\030\003 \001(\004\022)\n\004news\030\004 \003(\0132\033.li" +
+      "mpetring.peer.MemberNews\"\226\001\n\013PingRequest" +
+      "\022\016\n\006target\030\001 \001(\t\022\021\n\ttarget_ip\030\002 \001(\t\022\023\n\013t" +
+      "arget_port\030\003 \001(\r\022\024\n\014roster_epoch\030\004 \001(\004\022\016" +
+      "\n\006number\030\005 \001(\004\022)\n\004news\030\006 \003(\0132\033.limpetrin" +
+      "g.peer.MemberNews\"w\n\003Ack\022\017\n\007reached\030\001 \001(" +
+      "\010\022\024\n\014roster_epoch\030\002 \001(\004\022\016\n\006target\030\003 \001(\t\022" +
+      "\016\n\006number\030\004 \001(\004\022)\n\004news\030\005 \003(\0132\033.limpetri" +
+      "ng.peer.MemberNews\"D\n\nMemberNews\022\016\n\006daem" +
+      "on\030\001 \001(\t\022\023\n\013incarnation\030\002 \001(\004\022\021\n\tsuspect" +
+      "ed\030\003 \001(\010\"P\n\014DaemonRecord\022\016\n\006daemon\030\001 \001(\t" +
+      "\022\n\n\002ip\030\002 \001(\t\022\014\n\004port\030\003 \001(\r\022\026\n\016failure_do" +
+      "main\030\004 \001(\t\"J\n\nRosterWish\022,\n\005joins\030\001 \003(\0132" +
+      "\035.limpetring.peer.DaemonRecord\022\016\n\006leaves" +
+      "\030\002 \003(\t\"\264\003\n\017VersionExchange\022-\n\006topics\030\001 \003" +
+      "(\0132\035.limpetring.peer.TopicVersion\022\030\n\020con" +
+      "firmed_age_ms\030\002 \001(\004\0223\n\004kind\030\003 \001(\0162%.limp" +
+      "etring.peer.VersionExchange.Kind\022\016\n\006numb" +
+      "er\030\004 \001(\004\022\016\n\006digest\030\005 \001(\006\022\024\n\014roster_epoch" +
+      "\030\006 \001(\004\022\022\n\ngeneration\030\007 \001(\004\022\021\n\tconfirmed\030" +
+      "\010 \001(\010\022\023\n\013member_ages\030\t \001(\014\022\024\n\014members_se" +
+      "en\030\013 \001(\014\022\024\n\014with_members\030\014 \001(\010\022/\n\010strang" +
+      "er\030\n \001(\0132\035.limpetring.peer.DaemonRecord\"" +
+      "T\n\004Kind\022\024\n\020KIND_UNSPECIFIED\020\000\022\014\n\010QUESTIO" +
+      "N\020\001\022\n\n\006ANSWER\020\002\022\n\n\006NOTICE\020\003\022\020\n\014ALL_VERSI" +
+      "ONS\020\004\">\n\014TopicVersion\022\r\n\005topic\030\001 \001(\t\022\017\n\007" +
+      "version\030\002 \001(\004\022\016\n\006age_ms\030\003 \001(\004\"L\n\tStatePu" +
+      "sh\022\r\n\005topic\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\017\n\007pa" +
+      "yload\030\003 \001(\014\022\016\n\006age_ms\030\004 \001(\004\";\n\tStatePull" +
+      "\022\r\n\005topic\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\016\n\006topi" +
+      "cs\030\003 \003(\t\"\032\n\tRosterAck\022\r\n\005epoch\030\001 \001(\004\"\212\001\n" +
+      "\014ClaimRequest\022\r\n\005shard\030\001 \001(\r\022\013\n\003key\030\002 \001(" +
+      "\t\022\033\n\023request_fingerprint\030\003 \001(\014\022\017\n\007attemp" +
+      "t\030\004 \001(\t\022\024\n\014roster_epoch\030\005 \001(\004\022\032\n\022first_s" +
+      "ent_wall_ms\030\006 \001(\004\"\225\002\n\rClaimResponse\0227\n\007v" +
+      "erdict\030\001 \001(\0162&.limpetring.peer.ClaimResp" +
+      "onse.Verdict\022\026\n\016holder_attempt\030\002 \001(\t\022\024\n\014" +
+      "roster_epoch\030\003 \001(\004\"\234\001\n\007Verdict\022\027\n\023VERDIC" +
+      "T_UNSPECIFIED\020\000\022\013\n\007GRANTED\020\001\022\023\n\017ALREADY_" +
+      "CLAIMED\020\002\022\030\n\024FINGERPRINT_MISMATCH\020\003\022\017\n\013K" +
+      "EY_TOO_OLD\020\004\022\r\n\tNOT_OWNER\020\005\022\017\n\013UNAVAILAB" +
+      "LE\020\006\022\013\n\007UNKNOWN\020\007\"h\n\021ColdPermitRequest\022\r" +
+      "\n\005group\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\r\n\005count\030\003 " +
+      "\001(\r\022\020\n\010returned\030\004 \001(\r\022\024\n\014roster_epoch\030\005 " +
+      "\001(\004\"M\n\022ColdPermitResponse\022\017\n\007granted\030\001 \001" +
+      "(\r\022\020\n\010valid_ms\030\002 \001(\004\022\024\n\014roster_epoch\030\003 \001" +
+      "(\004\"\200\002\n\024PlatformRelayRequest\0228\n\004kind\030\001 \001(" +
+      "\0162*.limpetring.peer.PlatformRelayRequest" +
+      ".Kind\022\013\n\003key\030\002 \001(\t\022\r\n\005value\030\003 \001(\t\022\030\n\020exp" +
+      "ected_version\030\004 \001(\004\022\026\n\016after_revision\030\005 " +
+      "\001(\004\022\017\n\007wait_ms\030\006 \001(\004\"O\n\004Kind\022\024\n\020KIND_UNS" +
+      "PECIFIED\020\000\022\007\n\003GET\020\001\022\010\n\004LIST\020\002\022\007\n\003PUT\020\003\022\n" +
+      "\n\006DELETE\020\004\022\t\n\005WATCH\020\005\"\326\002\n\025PlatformRelayR" +
+      "esponse\022=\n\006result\030\001 \001(\0162-.limpetring.pee" +
+      "r.PlatformRelayResponse.Result\022/\n\007object" +
+      "s\030\002 \003(\0132\036.limpetring.peer.RelayedObject\022" +
+      "\017\n\007version\030\003 \001(\004\022\020\n\010revision\030\004 \001(\004\022\016\n\006re" +
+      "ason\030\005 \001(\t\"\231\001\n\006Result\022\026\n\022RESULT_UNSPECIF" +
+      "IED\020\000\022\t\n\005FOUND\020\001\022\013\n\007MISSING\020\002\022\n\n\006LISTED\020" +
+      "\003\022\013\n\007WRITTEN\020\004\022\014\n\010CONFLICT\020\005\022\013\n\007CHANGES\020" +
+      "\006\022\r\n\tCOMPACTED\020\007\022\017\n\013UNAVAILABLE\020\010\022\013\n\007UNK" +
+      "NOWN\020\t\"M\n\rRelayedObject\022\013\n\003key\030\001 \001(\t\022\r\n\005" +
+      "value\030\002 \001(\t\022\017\n\007version\030\003 \001(\004\022\017\n\007deleted\030" +
+      "\004 \001(\010B\035\n\031org.limpetring.peer.protoP\001b\006pr" +
+      "oto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -199,7 +235,7 @@
     internal_static_limpetring_peer_Envelope_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetring_peer_Envelope_descriptor,
-        new java.lang.String[] { "Sender", "Correlation", "Response", "Heartbeat", "Ping", "PingRequest", "Ack", "VersionExchange", "StatePush", "StatePull", "RosterAck", "ClaimRequest", "ClaimResponse", "ColdPermitRequest", "ColdPermitResponse", "PlatformRelayRequest", "PlatformRelayResponse", "Body", });
+        new java.lang.String[] { "Sender", "Correlation", "Response", "Heartbeat", "Ping", "PingRequest", "Ack", "VersionExchange", "StatePush", "StatePull", "RosterAck", "ClaimRequest", "ClaimResponse", "ColdPermitRequest", "ColdPermitResponse", "PlatformRelayRequest", "PlatformRelayResponse", "RosterWish", "Body", });
     internal_static_limpetring_peer_Heartbeat_descriptor =
       getDescriptor().getMessageType(1);
     internal_static_limpetring_peer_Heartbeat_fieldAccessorTable = new
@@ -211,87 +247,105 @@
     internal_static_limpetring_peer_Ping_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetring_peer_Ping_descriptor,
-        new java.lang.String[] { "Target", "RosterEpoch", });
+        new java.lang.String[] { "Target", "RosterEpoch", "Number", "News", });
     internal_static_limpetring_peer_PingRequest_descriptor =
       getDescriptor().getMessageType(3);
     internal_static_limpetring_peer_PingRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetring_peer_PingRequest_descriptor,
-        new java.lang.String[] { "Target", "TargetIp", "TargetPort", "RosterEpoch", });
+        new java.lang.String[] { "Target", "TargetIp", "TargetPort", "RosterEpoch", "Number", "News", });
     internal_static_limpetring_peer_Ack_descriptor =
       getDescriptor().getMessageType(4);
     internal_static_limpetring_peer_Ack_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetring_peer_Ack_descriptor,
-        new java.lang.String[] { "Reached", "RosterEpoch", });
-    internal_static_limpetring_peer_VersionExchange_descriptor =
+        new java.lang.String[] { "Reached", "RosterEpoch", "Target", "Number", "News", });
+    internal_static_limpetring_peer_MemberNews_descriptor =
       getDescriptor().getMessageType(5);
+    internal_static_limpetring_peer_MemberNews_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_limpetring_peer_MemberNews_descriptor,
+        new java.lang.String[] { "Daemon", "Incarnation", "Suspected", });
+    internal_static_limpetring_peer_DaemonRecord_descriptor =
+      getDescriptor().getMessageType(6);
+    internal_static_limpetring_peer_DaemonRecord_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_limpetring_peer_DaemonRecord_descriptor,
+        new java.lang.String[] { "Daemon", "Ip", "Port", "FailureDomain", });
+    internal_static_limpetring_peer_RosterWish_descriptor =
+      getDescriptor().getMessageType(7);
+    internal_static_limpetring_peer_RosterWish_fieldAccessorTable = new
+      com.google.protobuf.GeneratedMessage.FieldAccessorTable(
+        internal_static_limpetring_peer_RosterWish_descriptor,
+        new java.lang.String[] { "Joins", "Leaves", });
+    internal_static_limpetring_peer_VersionExchange_descriptor =
+      getDescriptor().getMessageType(8);
     internal_static_limpetring_peer_VersionExchange_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetring_peer_VersionExchange_descriptor,
-        new java.lang.String[] { "Topics", "ConfirmedAgeMs", });
+        new java.lang.String[] { "Topics", "ConfirmedAgeMs", "Kind", "Number", "Digest", "RosterEpoch", "Generation", "Confirmed", "MemberAges", "MembersSeen", "WithMembers", "Stranger", });
     internal_static_limpetring_peer_TopicVersion_descriptor =
-      getDescriptor().getMessageType(6);
+      getDescriptor().getMessageType(9);
     internal_static_limpetring_peer_TopicVersion_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetring_peer_TopicVersion_descriptor,
         new java.lang.String[] { "Topic", "Version", "AgeMs", });
     internal_static_limpetring_peer_StatePush_descriptor =
-      getDescriptor().getMessageType(7);
+      getDescriptor().getMessageType(10);
     internal_static_limpetring_peer_StatePush_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetring_peer_StatePush_descriptor,
         new java.lang.String[] { "Topic", "Version", "Payload", "AgeMs", });
     internal_static_limpetring_peer_StatePull_descriptor =
-      getDescriptor().getMessageType(8);
+      getDescriptor().getMessageType(11);
     internal_static_limpetring_peer_StatePull_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetring_peer_StatePull_descriptor,
-        new java.lang.String[] { "Topic", "Version", });
+        new java.lang.String[] { "Topic", "Version", "Topics", });
     internal_static_limpetring_peer_RosterAck_descriptor =
-      getDescriptor().getMessageType(9);
+      getDescriptor().getMessageType(12);
     internal_static_limpetring_peer_RosterAck_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetring_peer_RosterAck_descriptor,
         new java.lang.String[] { "Epoch", });
     internal_static_limpetring_peer_ClaimRequest_descriptor =
-      getDescriptor().getMessageType(10);
+      getDescriptor().getMessageType(13);
     internal_static_limpetring_peer_ClaimRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetring_peer_ClaimRequest_descriptor,
         new java.lang.String[] { "Shard", "Key", "RequestFingerprint", "Attempt", "RosterEpoch", "FirstSentWallMs", });
     internal_static_limpetring_peer_ClaimResponse_descriptor =
-      getDescriptor().getMessageType(11);
+      getDescriptor().getMessageType(14);
     internal_static_limpetring_peer_ClaimResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetring_peer_ClaimResponse_descriptor,
         new java.lang.String[] { "Verdict", "HolderAttempt", "RosterEpoch", });
     internal_static_limpetring_peer_ColdPermitRequest_descriptor =
-      getDescriptor().getMessageType(12);
+      getDescriptor().getMessageType(15);
     internal_static_limpetring_peer_ColdPermitRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetring_peer_ColdPermitRequest_descriptor,
         new java.lang.String[] { "Group", "Epoch", "Count", "Returned", "RosterEpoch", });
     internal_static_limpetring_peer_ColdPermitResponse_descriptor =
-      getDescriptor().getMessageType(13);
+      getDescriptor().getMessageType(16);
     internal_static_limpetring_peer_ColdPermitResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetring_peer_ColdPermitResponse_descriptor,
         new java.lang.String[] { "Granted", "ValidMs", "RosterEpoch", });
     internal_static_limpetring_peer_PlatformRelayRequest_descriptor =
-      getDescriptor().getMessageType(14);
+      getDescriptor().getMessageType(17);
     internal_static_limpetring_peer_PlatformRelayRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetring_peer_PlatformRelayRequest_descriptor,
         new java.lang.String[] { "Kind", "Key", "Value", "ExpectedVersion", "AfterRevision", "WaitMs", });
     internal_static_limpetring_peer_PlatformRelayResponse_descriptor =
-      getDescriptor().getMessageType(15);
+      getDescriptor().getMessageType(18);
     internal_static_limpetring_peer_PlatformRelayResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetring_peer_PlatformRelayResponse_descriptor,
         new java.lang.String[] { "Result", "Objects", "Version", "Revision", "Reason", });
     internal_static_limpetring_peer_RelayedObject_descriptor =
-      getDescriptor().getMessageType(16);
+      getDescriptor().getMessageType(19);
     internal_static_limpetring_peer_RelayedObject_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetring_peer_RelayedObject_descriptor,
--- a/limpet-peer/src/main/java/org/limpetring/peer/proto/Ping.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/proto/Ping.java
@@ -33,6 +33,7 @@
   }
   private Ping() {
     target_ = "";
+    news_ = java.util.Collections.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -111,6 +112,58 @@
     return rosterEpoch_;
   }
 
+  public static final int NUMBER_FIELD_NUMBER = 3;
+  private long number_ = 0L;
+  /**
+   * <code>uint64 number = 3;</code>
+   * @return The number.
+   */
+  @java.lang.Override
+  public long getNumber() {
+    return number_;
+  }
+
+  public static final int NEWS_FIELD_NUMBER = 4;
+  @SuppressWarnings("serial")
+  private java.util.List<org.limpetring.peer.proto.MemberNews> news_;
+  /**
+   * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<org.limpetring.peer.proto.MemberNews> getNewsList() {
+    return news_;
+  }
+  /**
+   * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+   */
+  @java.lang.Override
+  public java.util.List<? extends org.limpetring.peer.proto.MemberNewsOrBuilder> 
+      getNewsOrBuilderList() {
+    return news_;
+  }
+  /**
+   * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+   */
+  @java.lang.Override
+  public int getNewsCount() {
+    return news_.size();
+  }
+  /**
+   * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+   */
+  @java.lang.Override
+  public org.limpetring.peer.proto.MemberNews getNews(int index) {
+    return news_.get(index);
+  }
+  /**
+   * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+   */
+  @java.lang.Override
+  public org.limpetring.peer.proto.MemberNewsOrBuilder getNewsOrBuilder(
+      int index) {
+    return news_.get(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -131,6 +184,12 @@
     if (rosterEpoch_ != 0L) {
       output.writeUInt64(2, rosterEpoch_);
     }
+    if (number_ != 0L) {
+      output.writeUInt64(3, number_);
+    }
+    for (int i = 0; i < news_.size(); i++) {
+      output.writeMessage(4, news_.get(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -142,6 +201,19 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(2, rosterEpoch_);
     }
+    if (number_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(3, number_);
+    }
+
+        {
+          final int count = news_.size();
+          for (int i = 0; i < count; i++) {
+            size += com.google.protobuf.CodedOutputStream
+              .computeMessageSizeNoTag(news_.get(i));
+          }
+          size += 1 * count;
+        }
     return size;
   }
   @java.lang.Override
@@ -170,6 +242,10 @@
         .equals(other.getTarget())) return false;
     if (getRosterEpoch()
         != other.getRosterEpoch()) return false;
+    if (getNumber()
+        != other.getNumber()) return false;
+    if (!getNewsList()
+        .equals(other.getNewsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -186,6 +262,13 @@
     hash = (37 * hash) + ROSTER_EPOCH_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getRosterEpoch());
+    hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getNumber());
+    if (getNewsCount() > 0) {
+      hash = (37 * hash) + NEWS_FIELD_NUMBER;
+      hash = (53 * hash) + getNewsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -323,6 +406,14 @@
       bitField0_ = 0;
       target_ = "";
       rosterEpoch_ = 0L;
+      number_ = 0L;
+      if (newsBuilder_ == null) {
+        news_ = java.util.Collections.emptyList();
+      } else {
+        news_ = null;
+        newsBuilder_.clear();
+      }
+      bitField0_ = (bitField0_ & ~0x00000008);
       return this;
     }
 
@@ -349,11 +440,24 @@
     @java.lang.Override
     public org.limpetring.peer.proto.Ping buildPartial() {
       org.limpetring.peer.proto.Ping result = new org.limpetring.peer.proto.Ping(this);
+      buildPartialRepeatedFields(result);
       if (bitField0_ != 0) { buildPartial0(result); }
       onBuilt();
       return result;
     }
 
+    private void buildPartialRepeatedFields(org.limpetring.peer.proto.Ping result) {
+      if (newsBuilder_ == null) {
+        if (((bitField0_ & 0x00000008) != 0)) {
+          news_ = java.util.Collections.unmodifiableList(news_);
+          bitField0_ = (bitField0_ & ~0x00000008);
+        }
+        result.news_ = news_;
+      } else {
+        result.news_ = newsBuilder_.build();
+      }
+    }
+
     private void buildPartial0(org.limpetring.peer.proto.Ping result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
@@ -362,6 +466,9 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.rosterEpoch_ = rosterEpoch_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.number_ = number_;
+      }
     }
 
     @java.lang.Override
@@ -384,6 +491,35 @@
       if (other.getRosterEpoch() != 0L) {
         setRosterEpoch(other.getRosterEpoch());
       }
+      if (other.getNumber() != 0L) {
+        setNumber(other.getNumber());
+      }
+      if (newsBuilder_ == null) {
+        if (!other.news_.isEmpty()) {
+          if (news_.isEmpty()) {
+            news_ = other.news_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+          } else {
+            ensureNewsIsMutable();
+            news_.addAll(other.news_);
+          }
+          onChanged();
+        }
+      } else {
+        if (!other.news_.isEmpty()) {
+          if (newsBuilder_.isEmpty()) {
+            newsBuilder_.dispose();
+            newsBuilder_ = null;
+            news_ = other.news_;
+            bitField0_ = (bitField0_ & ~0x00000008);
+            newsBuilder_ = 
+              com.google.protobuf.GeneratedMessage.alwaysUseFieldBuilders ?
+                 internalGetNewsFieldBuilder() : null;
+          } else {
+            newsBuilder_.addAllMessages(other.news_);
+          }
+        }
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -418,6 +554,24 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              number_ = input.readUInt64();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 34: {
+              org.limpetring.peer.proto.MemberNews m =
+                  input.readMessage(
+                      org.limpetring.peer.proto.MemberNews.parser(),
+                      extensionRegistry);
+              if (newsBuilder_ == null) {
+                ensureNewsIsMutable();
+                news_.add(m);
+              } else {
+                newsBuilder_.addMessage(m);
+              }
+              break;
+            } // case 34
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -559,6 +713,272 @@
       return this;
     }
 
+    private long number_ ;
+    /**
+     * <code>uint64 number = 3;</code>
+     * @return The number.
+     */
+    @java.lang.Override
+    public long getNumber() {
+      return number_;
+    }
+    /**
+     * <code>uint64 number = 3;</code>
+     * @param value The number to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNumber(long value) {
+
+      number_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 number = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNumber() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      number_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private java.util.List<org.limpetring.peer.proto.MemberNews> news_ =
+      java.util.Collections.emptyList();
+    private void ensureNewsIsMutable() {
+      if (!((bitField0_ & 0x00000008) != 0)) {
+        news_ = new java.util.ArrayList<org.limpetring.peer.proto.MemberNews>(news_);
+        bitField0_ |= 0x00000008;
+       }
+    }
+
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.limpetring.peer.proto.MemberNews, org.limpetring.peer.proto.MemberNews.Builder, org.limpetring.peer.proto.MemberNewsOrBuilder> newsBuilder_;
+
+    /**
+     * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+     */
+    public java.util.List<org.limpetring.peer.proto.MemberNews> getNewsList() {
+      if (newsBuilder_ == null) {
+        return java.util.Collections.unmodifiableList(news_);
+      } else {
+        return newsBuilder_.getMessageList();
+      }
+    }
+    /**
+     * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+     */
+    public int getNewsCount() {
+      if (newsBuilder_ == null) {
+        return news_.size();
+      } else {
+        return newsBuilder_.getCount();
+      }
+    }
+    /**
+     * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+     */
+    public org.limpetring.peer.proto.MemberNews getNews(int index) {
+      if (newsBuilder_ == null) {
+        return news_.get(index);
+      } else {
+        return newsBuilder_.getMessage(index);
+      }
+    }
+    /**
+     * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+     */
+    public Builder setNews(
+        int index, org.limpetring.peer.proto.MemberNews value) {
+      if (newsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureNewsIsMutable();
+        news_.set(index, value);
+        onChanged();
+      } else {
+        newsBuilder_.setMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+     */
+    public Builder setNews(
+        int index, org.limpetring.peer.proto.MemberNews.Builder builderForValue) {
+      if (newsBuilder_ == null) {
+        ensureNewsIsMutable();
+        news_.set(index, builderForValue.build());
+        onChanged();
+      } else {
+        newsBuilder_.setMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+     */
+    public Builder addNews(org.limpetring.peer.proto.MemberNews value) {
+      if (newsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureNewsIsMutable();
+        news_.add(value);
+        onChanged();
+      } else {
+        newsBuilder_.addMessage(value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+     */
+    public Builder addNews(
+        int index, org.limpetring.peer.proto.MemberNews value) {
+      if (newsBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        ensureNewsIsMutable();
+        news_.add(index, value);
+        onChanged();
+      } else {
+        newsBuilder_.addMessage(index, value);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+     */
+    public Builder addNews(
+        org.limpetring.peer.proto.MemberNews.Builder builderForValue) {
+      if (newsBuilder_ == null) {
+        ensureNewsIsMutable();
+        news_.add(builderForValue.build());
+        onChanged();
+      } else {
+        newsBuilder_.addMessage(builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+     */
+    public Builder addNews(
+        int index, org.limpetring.peer.proto.MemberNews.Builder builderForValue) {
+      if (newsBuilder_ == null) {
+        ensureNewsIsMutable();
+        news_.add(index, builderForValue.build());
+        onChanged();
+      } else {
+        newsBuilder_.addMessage(index, builderForValue.build());
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+     */
+    public Builder addAllNews(
+        java.lang.Iterable<? extends org.limpetring.peer.proto.MemberNews> values) {
+      if (newsBuilder_ == null) {
+        ensureNewsIsMutable();
+        com.google.protobuf.AbstractMessageLite.Builder.addAll(
+            values, news_);
+        onChanged();
+      } else {
+        newsBuilder_.addAllMessages(values);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+     */
+    public Builder clearNews() {
+      if (newsBuilder_ == null) {
+        news_ = java.util.Collections.emptyList();
+        bitField0_ = (bitField0_ & ~0x00000008);
+        onChanged();
+      } else {
+        newsBuilder_.clear();
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+     */
+    public Builder removeNews(int index) {
+      if (newsBuilder_ == null) {
+        ensureNewsIsMutable();
+        news_.remove(index);
+        onChanged();
+      } else {
+        newsBuilder_.remove(index);
+      }
+      return this;
+    }
+    /**
+     * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+     */
+    public org.limpetring.peer.proto.MemberNews.Builder getNewsBuilder(
+        int index) {
+      return internalGetNewsFieldBuilder().getBuilder(index);
+    }
+    /**
+     * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+     */
+    public org.limpetring.peer.proto.MemberNewsOrBuilder getNewsOrBuilder(
+        int index) {
+      if (newsBuilder_ == null) {
+        return news_.get(index);  } else {
+        return newsBuilder_.getMessageOrBuilder(index);
+      }
+    }
+    /**
+     * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+     */
+    public java.util.List<? extends org.limpetring.peer.proto.MemberNewsOrBuilder> 
+         getNewsOrBuilderList() {
+      if (newsBuilder_ != null) {
+        return newsBuilder_.getMessageOrBuilderList();
+      } else {
+        return java.util.Collections.unmodifiableList(news_);
+      }
+    }
+    /**
+     * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+     */
+    public org.limpetring.peer.proto.MemberNews.Builder addNewsBuilder() {
+      return internalGetNewsFieldBuilder().addBuilder(
+          org.limpetring.peer.proto.MemberNews.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+     */
+    public org.limpetring.peer.proto.MemberNews.Builder addNewsBuilder(
+        int index) {
+      return internalGetNewsFieldBuilder().addBuilder(
+          index, org.limpetring.peer.proto.MemberNews.getDefaultInstance());
+    }
+    /**
+     * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+     */
+    public java.util.List<org.limpetring.peer.proto.MemberNews.Builder> 
+         getNewsBuilderList() {
+      return internalGetNewsFieldBuilder().getBuilderList();
+    }
+    private com.google.protobuf.RepeatedFieldBuilder<
+        org.limpetring.peer.proto.MemberNews, org.limpetring.peer.proto.MemberNews.Builder, org.limpetring.peer.proto.MemberNewsOrBuilder> 
+        internalGetNewsFieldBuilder() {
+      if (newsBuilder_ == null) {
+        newsBuilder_ = new com.google.protobuf.RepeatedFieldBuilder<
+            org.limpetring.peer.proto.MemberNews, org.limpetring.peer.proto.MemberNews.Builder, org.limpetring.peer.proto.MemberNewsOrBuilder>(
+                news_,
+                ((bitField0_ & 0x00000008) != 0),
+                getParentForChildren(),
+                isClean());
+        news_ = null;
+      }
+      return newsBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetring.peer.Ping)
   }
 
--- a/limpet-peer/src/main/java/org/limpetring/peer/proto/PingOrBuilder.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/proto/PingOrBuilder.java
@@ -35,4 +35,34 @@
    * @return The rosterEpoch.
    */
   long getRosterEpoch();
+
+  /**
+   * <code>uint64 number = 3;</code>
+   * @return The number.
+   */
+  long getNumber();
+
+  /**
+   * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+   */
+  java.util.List<org.limpetring.peer.proto.MemberNews> 
+      getNewsList();
+  /**
+   * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+   */
+  org.limpetring.peer.proto.MemberNews getNews(int index);
+  /**
+   * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+   */
+  int getNewsCount();
+  /**
+   * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+   */
+  java.util.List<? extends org.limpetring.peer.proto.MemberNewsOrBuilder> 
+      getNewsOrBuilderList();
+  /**
+   * <code>repeated .limpetring.peer.MemberNews news = 4;</code>
+   */
+  org.limpetring.peer.proto.MemberNewsOrBuilder getNewsOrBuilder(
+      int index);
 }
--- a/limpet-peer/src/main/java/org/limpetring/peer/proto/StatePull.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/proto/StatePull.java
@@ -33,6 +33,8 @@
   }
   private StatePull() {
     topic_ = "";
+    topics_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -103,6 +105,59 @@
     return version_;
   }
 
+  public static final int TOPICS_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private com.google.protobuf.LazyStringArrayList topics_ =
+      com.google.protobuf.LazyStringArrayList.emptyList();
+  /**
+   * <pre>
+   * Topics wanted, whatever their versions.
+   * </pre>
+   *
+   * <code>repeated string topics = 3;</code>
+   * @return A list containing the topics.
+   */
+  public com.google.protobuf.ProtocolStringList
+      getTopicsList() {
+    return topics_;
+  }
+  /**
+   * <pre>
+   * Topics wanted, whatever their versions.
+   * </pre>
+   *
+   * <code>repeated string topics = 3;</code>
+   * @return The count of topics.
+   */
+  public int getTopicsCount() {
+    return topics_.size();
+  }
+  /**
+   * <pre>
+   * Topics wanted, whatever their versions.
+   * </pre>
+   *
+   * <code>repeated string topics = 3;</code>
+   * @param index The index of the element to return.
+   * @return The topics at the given index.
+   */
+  public java.lang.String getTopics(int index) {
+    return topics_.get(index);
+  }
+  /**
+   * <pre>
+   * Topics wanted, whatever their versions.
+   * </pre>
+   *
+   * <code>repeated string topics = 3;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the topics at the given index.
+   */
+  public com.google.protobuf.ByteString
+      getTopicsBytes(int index) {
+    return topics_.getByteString(index);
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -123,6 +178,9 @@
     if (version_ != 0L) {
       output.writeUInt64(2, version_);
     }
+    for (int i = 0; i < topics_.size(); i++) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, topics_.getRaw(i));
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -134,6 +192,14 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(2, version_);
     }
+    {
+      int dataSize = 0;
+      for (int i = 0; i < topics_.size(); i++) {
+        dataSize += computeStringSizeNoTag(topics_.getRaw(i));
+      }
+      size += dataSize;
+      size += 1 * getTopicsList().size();
+    }
     return size;
   }
   @java.lang.Override
@@ -162,6 +228,8 @@
         .equals(other.getTopic())) return false;
     if (getVersion()
         != other.getVersion()) return false;
+    if (!getTopicsList()
+        .equals(other.getTopicsList())) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -178,6 +246,10 @@
     hash = (37 * hash) + VERSION_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getVersion());
+    if (getTopicsCount() > 0) {
+      hash = (37 * hash) + TOPICS_FIELD_NUMBER;
+      hash = (53 * hash) + getTopicsList().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -315,6 +387,8 @@
       bitField0_ = 0;
       topic_ = "";
       version_ = 0L;
+      topics_ =
+          com.google.protobuf.LazyStringArrayList.emptyList();
       return this;
     }
 
@@ -354,6 +428,10 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.version_ = version_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        topics_.makeImmutable();
+        result.topics_ = topics_;
+      }
     }
 
     @java.lang.Override
@@ -376,6 +454,16 @@
       if (other.getVersion() != 0L) {
         setVersion(other.getVersion());
       }
+      if (!other.topics_.isEmpty()) {
+        if (topics_.isEmpty()) {
+          topics_ = other.topics_;
+          bitField0_ |= 0x00000004;
+        } else {
+          ensureTopicsIsMutable();
+          topics_.addAll(other.topics_);
+        }
+        onChanged();
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -410,6 +498,11 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 26: {
+              ensureTopicsIsMutable();
+              topics_.add(input.readStringRequireUtf8());
+              break;
+            } // case 26
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -531,6 +624,153 @@
       return this;
     }
 
+    private com.google.protobuf.LazyStringArrayList topics_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+    private void ensureTopicsIsMutable() {
+      if (!topics_.isModifiable()) {
+        topics_ = new com.google.protobuf.LazyStringArrayList(topics_);
+      }
+      bitField0_ |= 0x00000004;
+    }
+    /**
+     * <pre>
+     * Topics wanted, whatever their versions.
+     * </pre>
+     *
+     * <code>repeated string topics = 3;</code>
+     * @return A list containing the topics.
+     */
+    public com.google.protobuf.ProtocolStringList
+        getTopicsList() {
+      topics_.makeImmutable();
+      return topics_;
+    }
+    /**
+     * <pre>
+     * Topics wanted, whatever their versions.
+     * </pre>
+     *
+     * <code>repeated string topics = 3;</code>
+     * @return The count of topics.
+     */
+    public int getTopicsCount() {
+      return topics_.size();
+    }
+    /**
+     * <pre>
+     * Topics wanted, whatever their versions.
+     * </pre>
+     *
+     * <code>repeated string topics = 3;</code>
+     * @param index The index of the element to return.
+     * @return The topics at the given index.
+     */
+    public java.lang.String getTopics(int index) {
+      return topics_.get(index);
+    }
+    /**
+     * <pre>
+     * Topics wanted, whatever their versions.
+     * </pre>
+     *
+     * <code>repeated string topics = 3;</code>
+     * @param index The index of the value to return.
+     * @return The bytes of the topics at the given index.
+     */
+    public com.google.protobuf.ByteString
+        getTopicsBytes(int index) {
+      return topics_.getByteString(index);
+    }
+    /**
+     * <pre>
+     * Topics wanted, whatever their versions.
+     * </pre>
+     *
+     * <code>repeated string topics = 3;</code>
+     * @param index The index to set the value at.
+     * @param value The topics to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTopics(
+        int index, java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureTopicsIsMutable();
+      topics_.set(index, value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Topics wanted, whatever their versions.
+     * </pre>
+     *
+     * <code>repeated string topics = 3;</code>
+     * @param value The topics to add.
+     * @return This builder for chaining.
+     */
+    public Builder addTopics(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      ensureTopicsIsMutable();
+      topics_.add(value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Topics wanted, whatever their versions.
+     * </pre>
+     *
+     * <code>repeated string topics = 3;</code>
+     * @param values The topics to add.
+     * @return This builder for chaining.
+     */
+    public Builder addAllTopics(
+        java.lang.Iterable<java.lang.String> values) {
+      ensureTopicsIsMutable();
+      com.google.protobuf.AbstractMessageLite.Builder.addAll(
+          values, topics_);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Topics wanted, whatever their versions.
+     * </pre>
+     *
+     * <code>repeated string topics = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTopics() {
+      topics_ =
+        com.google.protobuf.LazyStringArrayList.emptyList();
+      bitField0_ = (bitField0_ & ~0x00000004);;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Topics wanted, whatever their versions.
+     * </pre>
+     *
+     * <code>repeated string topics = 3;</code>
+     * @param value The bytes of the topics to add.
+     * @return This builder for chaining.
+     */
+    public Builder addTopicsBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      ensureTopicsIsMutable();
+      topics_.add(value);
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetring.peer.StatePull)
   }
 
--- a/limpet-peer/src/main/java/org/limpetring/peer/proto/StatePullOrBuilder.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/proto/StatePullOrBuilder.java
@@ -27,4 +27,45 @@
    * @return The version.
    */
   long getVersion();
+
+  /**
+   * <pre>
+   * Topics wanted, whatever their versions.
+   * </pre>
+   *
+   * <code>repeated string topics = 3;</code>
+   * @return A list containing the topics.
+   */
+  java.util.List<java.lang.String>
+      getTopicsList();
+  /**
+   * <pre>
+   * Topics wanted, whatever their versions.
+   * </pre>
+   *
+   * <code>repeated string topics = 3;</code>
+   * @return The count of topics.
+   */
+  int getTopicsCount();
+  /**
+   * <pre>
+   * Topics wanted, whatever their versions.
+   * </pre>
+   *
+   * <code>repeated string topics = 3;</code>
+   * @param index The index of the element to return.
+   * @return The topics at the given index.
+   */
+  java.lang.String getTopics(int index);
+  /**
+   * <pre>
+   * Topics wanted, whatever their versions.
+   * </pre>
+   *
+   * <code>repeated string topics = 3;</code>
+   * @param index The index of the value to return.
+   * @return The bytes of the topics at the given index.
+   */
+  com.google.protobuf.ByteString
+      getTopicsBytes(int index);
 }
--- a/limpet-peer/src/main/java/org/limpetring/peer/proto/VersionExchange.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/proto/VersionExchange.java
@@ -33,6 +33,9 @@
   }
   private VersionExchange() {
     topics_ = java.util.Collections.emptyList();
+    kind_ = 0;
+    memberAges_ = com.google.protobuf.ByteString.EMPTY;
+    membersSeen_ = com.google.protobuf.ByteString.EMPTY;
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -53,6 +56,151 @@
             org.limpetring.peer.proto.VersionExchange.class, org.limpetring.peer.proto.VersionExchange.Builder.class);
   }
 
+  /**
+   * Protobuf enum {@code limpetring.peer.VersionExchange.Kind}
+   */
+  public enum Kind
+      implements com.google.protobuf.ProtocolMessageEnum {
+    /**
+     * <code>KIND_UNSPECIFIED = 0;</code>
+     */
+    KIND_UNSPECIFIED(0),
+    /**
+     * <code>QUESTION = 1;</code>
+     */
+    QUESTION(1),
+    /**
+     * <code>ANSWER = 2;</code>
+     */
+    ANSWER(2),
+    /**
+     * <code>NOTICE = 3;</code>
+     */
+    NOTICE(3),
+    /**
+     * <code>ALL_VERSIONS = 4;</code>
+     */
+    ALL_VERSIONS(4),
+    UNRECOGNIZED(-1),
+    ;
+
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Kind");
+    }
+    /**
+     * <code>KIND_UNSPECIFIED = 0;</code>
+     */
+    public static final int KIND_UNSPECIFIED_VALUE = 0;
+    /**
+     * <code>QUESTION = 1;</code>
+     */
+    public static final int QUESTION_VALUE = 1;
+    /**
+     * <code>ANSWER = 2;</code>
+     */
+    public static final int ANSWER_VALUE = 2;
+    /**
+     * <code>NOTICE = 3;</code>
+     */
+    public static final int NOTICE_VALUE = 3;
+    /**
+     * <code>ALL_VERSIONS = 4;</code>
+     */
+    public static final int ALL_VERSIONS_VALUE = 4;
+
+
+    public final int getNumber() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalArgumentException(
+            "Can't get the number of an unknown enum value.");
+      }
+      return value;
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     * @deprecated Use {@link #forNumber(int)} instead.
+     */
+    @java.lang.Deprecated
+    public static Kind valueOf(int value) {
+      return forNumber(value);
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     */
+    public static Kind forNumber(int value) {
+      switch (value) {
+        case 0: return KIND_UNSPECIFIED;
+        case 1: return QUESTION;
+        case 2: return ANSWER;
+        case 3: return NOTICE;
+        case 4: return ALL_VERSIONS;
+        default: return null;
+      }
+    }
+
+    public static com.google.protobuf.Internal.EnumLiteMap<Kind>
+        internalGetValueMap() {
+      return internalValueMap;
+    }
+    private static final com.google.protobuf.Internal.EnumLiteMap<
+        Kind> internalValueMap =
+          new com.google.protobuf.Internal.EnumLiteMap<Kind>() {
+            public Kind findValueByNumber(int number) {
+              return Kind.forNumber(number);
+            }
+          };
+
+    public final com.google.protobuf.Descriptors.EnumValueDescriptor
+        getValueDescriptor() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalStateException(
+            "Can't get the descriptor of an unrecognized enum value.");
+      }
+      return getDescriptor().getValue(ordinal());
+    }
+    public final com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptorForType() {
+      return getDescriptor();
+    }
+    public static com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptor() {
+      return org.limpetring.peer.proto.VersionExchange.getDescriptor().getEnumType(0);
+    }
+
+    private static final Kind[] VALUES = values();
+
+    public static Kind valueOf(
+        com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+      if (desc.getType() != getDescriptor()) {
+        throw new java.lang.IllegalArgumentException(
+          "EnumValueDescriptor is not for this type.");
+      }
+      if (desc.getIndex() == -1) {
+        return UNRECOGNIZED;
+      }
+      return VALUES[desc.getIndex()];
+    }
+
+    private final int value;
+
+    private Kind(int value) {
+      this.value = value;
+    }
+
+    // @@protoc_insertion_point(enum_scope:limpetring.peer.VersionExchange.Kind)
+  }
+
+  private int bitField0_;
   public static final int TOPICS_FIELD_NUMBER = 1;
   @SuppressWarnings("serial")
   private java.util.List<org.limpetring.peer.proto.TopicVersion> topics_;
@@ -109,6 +257,170 @@
     return confirmedAgeMs_;
   }
 
+  public static final int KIND_FIELD_NUMBER = 3;
+  private int kind_ = 0;
+  /**
+   * <code>.limpetring.peer.VersionExchange.Kind kind = 3;</code>
+   * @return The enum numeric value on the wire for kind.
+   */
+  @java.lang.Override public int getKindValue() {
+    return kind_;
+  }
+  /**
+   * <code>.limpetring.peer.VersionExchange.Kind kind = 3;</code>
+   * @return The kind.
+   */
+  @java.lang.Override public org.limpetring.peer.proto.VersionExchange.Kind getKind() {
+    org.limpetring.peer.proto.VersionExchange.Kind result = org.limpetring.peer.proto.VersionExchange.Kind.forNumber(kind_);
+    return result == null ? org.limpetring.peer.proto.VersionExchange.Kind.UNRECOGNIZED : result;
+  }
+
+  public static final int NUMBER_FIELD_NUMBER = 4;
+  private long number_ = 0L;
+  /**
+   * <code>uint64 number = 4;</code>
+   * @return The number.
+   */
+  @java.lang.Override
+  public long getNumber() {
+    return number_;
+  }
+
+  public static final int DIGEST_FIELD_NUMBER = 5;
+  private long digest_ = 0L;
+  /**
+   * <pre>
+   * Hash of all topics and versions held.
+   * </pre>
+   *
+   * <code>fixed64 digest = 5;</code>
+   * @return The digest.
+   */
+  @java.lang.Override
+  public long getDigest() {
+    return digest_;
+  }
+
+  public static final int ROSTER_EPOCH_FIELD_NUMBER = 6;
+  private long rosterEpoch_ = 0L;
+  /**
+   * <code>uint64 roster_epoch = 6;</code>
+   * @return The rosterEpoch.
+   */
+  @java.lang.Override
+  public long getRosterEpoch() {
+    return rosterEpoch_;
+  }
+
+  public static final int GENERATION_FIELD_NUMBER = 7;
+  private long generation_ = 0L;
+  /**
+   * <code>uint64 generation = 7;</code>
+   * @return The generation.
+   */
+  @java.lang.Override
+  public long getGeneration() {
+    return generation_;
+  }
+
+  public static final int CONFIRMED_FIELD_NUMBER = 8;
+  private boolean confirmed_ = false;
+  /**
+   * <pre>
+   * Whether confirmed_age_ms is meant.
+   * </pre>
+   *
+   * <code>bool confirmed = 8;</code>
+   * @return The confirmed.
+   */
+  @java.lang.Override
+  public boolean getConfirmed() {
+    return confirmed_;
+  }
+
+  public static final int MEMBER_AGES_FIELD_NUMBER = 9;
+  private com.google.protobuf.ByteString memberAges_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * One byte for each daemon of the roster in sorted order: age in units of 50 ms, 255 for none.
+   * </pre>
+   *
+   * <code>bytes member_ages = 9;</code>
+   * @return The memberAges.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getMemberAges() {
+    return memberAges_;
+  }
+
+  public static final int MEMBERS_SEEN_FIELD_NUMBER = 11;
+  private com.google.protobuf.ByteString membersSeen_ = com.google.protobuf.ByteString.EMPTY;
+  /**
+   * <pre>
+   * One bit for each daemon of the roster that is known to have learnt roster_epoch.
+   * </pre>
+   *
+   * <code>bytes members_seen = 11;</code>
+   * @return The membersSeen.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString getMembersSeen() {
+    return membersSeen_;
+  }
+
+  public static final int WITH_MEMBERS_FIELD_NUMBER = 12;
+  private boolean withMembers_ = false;
+  /**
+   * <pre>
+   * Whether the answer should tell of all daemons.
+   * </pre>
+   *
+   * <code>bool with_members = 12;</code>
+   * @return The withMembers.
+   */
+  @java.lang.Override
+  public boolean getWithMembers() {
+    return withMembers_;
+  }
+
+  public static final int STRANGER_FIELD_NUMBER = 10;
+  private org.limpetring.peer.proto.DaemonRecord stranger_;
+  /**
+   * <pre>
+   * The sender, where it is not in the roster.
+   * </pre>
+   *
+   * <code>.limpetring.peer.DaemonRecord stranger = 10;</code>
+   * @return Whether the stranger field is set.
+   */
+  @java.lang.Override
+  public boolean hasStranger() {
+    return ((bitField0_ & 0x00000001) != 0);
+  }
+  /**
+   * <pre>
+   * The sender, where it is not in the roster.
+   * </pre>
+   *
+   * <code>.limpetring.peer.DaemonRecord stranger = 10;</code>
+   * @return The stranger.
+   */
+  @java.lang.Override
+  public org.limpetring.peer.proto.DaemonRecord getStranger() {
+    return stranger_ == null ? org.limpetring.peer.proto.DaemonRecord.getDefaultInstance() : stranger_;
+  }
+  /**
+   * <pre>
+   * The sender, where it is not in the roster.
+   * </pre>
+   *
+   * <code>.limpetring.peer.DaemonRecord stranger = 10;</code>
+   */
+  @java.lang.Override
+  public org.limpetring.peer.proto.DaemonRecordOrBuilder getStrangerOrBuilder() {
+    return stranger_ == null ? org.limpetring.peer.proto.DaemonRecord.getDefaultInstance() : stranger_;
+  }
+
   private byte memoizedIsInitialized = -1;
   @java.lang.Override
   public final boolean isInitialized() {
@@ -129,6 +441,36 @@
     if (confirmedAgeMs_ != 0L) {
       output.writeUInt64(2, confirmedAgeMs_);
     }
+    if (kind_ != org.limpetring.peer.proto.VersionExchange.Kind.KIND_UNSPECIFIED.getNumber()) {
+      output.writeEnum(3, kind_);
+    }
+    if (number_ != 0L) {
+      output.writeUInt64(4, number_);
+    }
+    if (digest_ != 0L) {
+      output.writeFixed64(5, digest_);
+    }
+    if (rosterEpoch_ != 0L) {
+      output.writeUInt64(6, rosterEpoch_);
+    }
+    if (generation_ != 0L) {
+      output.writeUInt64(7, generation_);
+    }
+    if (confirmed_ != false) {
+      output.writeBool(8, confirmed_);
+    }
+    if (!memberAges_.isEmpty()) {
+      output.writeBytes(9, memberAges_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      output.writeMessage(10, getStranger());
+    }
+    if (!membersSeen_.isEmpty()) {
+      output.writeBytes(11, membersSeen_);
+    }
+    if (withMembers_ != false) {
+      output.writeBool(12, withMembers_);
+    }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
@@ -146,6 +488,46 @@
       size += com.google.protobuf.CodedOutputStream
         .computeUInt64Size(2, confirmedAgeMs_);
     }
+    if (kind_ != org.limpetring.peer.proto.VersionExchange.Kind.KIND_UNSPECIFIED.getNumber()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeEnumSize(3, kind_);
+    }
+    if (number_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(4, number_);
+    }
+    if (digest_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeFixed64Size(5, digest_);
+    }
+    if (rosterEpoch_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(6, rosterEpoch_);
+    }
+    if (generation_ != 0L) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeUInt64Size(7, generation_);
+    }
+    if (confirmed_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(8, confirmed_);
+    }
+    if (!memberAges_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(9, memberAges_);
+    }
+    if (((bitField0_ & 0x00000001) != 0)) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeMessageSize(10, getStranger());
+    }
+    if (!membersSeen_.isEmpty()) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBytesSize(11, membersSeen_);
+    }
+    if (withMembers_ != false) {
+      size += com.google.protobuf.CodedOutputStream
+        .computeBoolSize(12, withMembers_);
+    }
     return size;
   }
   @java.lang.Override
@@ -174,6 +556,28 @@
         .equals(other.getTopicsList())) return false;
     if (getConfirmedAgeMs()
         != other.getConfirmedAgeMs()) return false;
+    if (kind_ != other.kind_) return false;
+    if (getNumber()
+        != other.getNumber()) return false;
+    if (getDigest()
+        != other.getDigest()) return false;
+    if (getRosterEpoch()
+        != other.getRosterEpoch()) return false;
+    if (getGeneration()
+        != other.getGeneration()) return false;
+    if (getConfirmed()
+        != other.getConfirmed()) return false;
+    if (!getMemberAges()
+        .equals(other.getMemberAges())) return false;
+    if (!getMembersSeen()
+        .equals(other.getMembersSeen())) return false;
+    if (getWithMembers()
+        != other.getWithMembers()) return false;
+    if (hasStranger() != other.hasStranger()) return false;
+    if (hasStranger()) {
+      if (!getStranger()
+          .equals(other.getStranger())) return false;
+    }
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -192,6 +596,34 @@
     hash = (37 * hash) + CONFIRMED_AGE_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
         getConfirmedAgeMs());
+    hash = (37 * hash) + KIND_FIELD_NUMBER;
+    hash = (53 * hash) + kind_;
+    hash = (37 * hash) + NUMBER_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getNumber());
+    hash = (37 * hash) + DIGEST_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getDigest());
+    hash = (37 * hash) + ROSTER_EPOCH_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getRosterEpoch());
+    hash = (37 * hash) + GENERATION_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
+        getGeneration());
+    hash = (37 * hash) + CONFIRMED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getConfirmed());
+    hash = (37 * hash) + MEMBER_AGES_FIELD_NUMBER;
+    hash = (53 * hash) + getMemberAges().hashCode();
+    hash = (37 * hash) + MEMBERS_SEEN_FIELD_NUMBER;
+    hash = (53 * hash) + getMembersSeen().hashCode();
+    hash = (37 * hash) + WITH_MEMBERS_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getWithMembers());
+    if (hasStranger()) {
+      hash = (37 * hash) + STRANGER_FIELD_NUMBER;
+      hash = (53 * hash) + getStranger().hashCode();
+    }
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -315,13 +747,20 @@
 
     // Construct using org.limpetring.peer.proto.VersionExchange.newBuilder()
     private Builder() {
-
+      maybeForceBuilderInitialization();
     }
 
     private Builder(
         com.google.protobuf.GeneratedMessage.BuilderParent parent) {
       super(parent);
-
+      maybeForceBuilderInitialization();
+    }
+    private void maybeForceBuilderInitialization() {
+      if (com.google.protobuf.GeneratedMessage
+              .alwaysUseFieldBuilders) {
+        internalGetTopicsFieldBuilder();
+        internalGetStrangerFieldBuilder();
+      }
     }
     @java.lang.Override
     public Builder clear() {
@@ -335,6 +774,20 @@
       }
       bitField0_ = (bitField0_ & ~0x00000001);
       confirmedAgeMs_ = 0L;
+      kind_ = 0;
+      number_ = 0L;
+      digest_ = 0L;
+      rosterEpoch_ = 0L;
+      generation_ = 0L;
+      confirmed_ = false;
+      memberAges_ = com.google.protobuf.ByteString.EMPTY;
+      membersSeen_ = com.google.protobuf.ByteString.EMPTY;
+      withMembers_ = false;
+      stranger_ = null;
+      if (strangerBuilder_ != null) {
+        strangerBuilder_.dispose();
+        strangerBuilder_ = null;
+      }
       return this;
     }
 
@@ -384,6 +837,41 @@
       if (((from_bitField0_ & 0x00000002) != 0)) {
         result.confirmedAgeMs_ = confirmedAgeMs_;
       }
+      if (((from_bitField0_ & 0x00000004) != 0)) {
+        result.kind_ = kind_;
+      }
+      if (((from_bitField0_ & 0x00000008) != 0)) {
+        result.number_ = number_;
+      }
+      if (((from_bitField0_ & 0x00000010) != 0)) {
+        result.digest_ = digest_;
+      }
+      if (((from_bitField0_ & 0x00000020) != 0)) {
+        result.rosterEpoch_ = rosterEpoch_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.generation_ = generation_;
+      }
+      if (((from_bitField0_ & 0x00000080) != 0)) {
+        result.confirmed_ = confirmed_;
+      }
+      if (((from_bitField0_ & 0x00000100) != 0)) {
+        result.memberAges_ = memberAges_;
+      }
+      if (((from_bitField0_ & 0x00000200) != 0)) {
+        result.membersSeen_ = membersSeen_;
+      }
+      if (((from_bitField0_ & 0x00000400) != 0)) {
+        result.withMembers_ = withMembers_;
+      }
+      int to_bitField0_ = 0;
+      if (((from_bitField0_ & 0x00000800) != 0)) {
+        result.stranger_ = strangerBuilder_ == null
+            ? stranger_
+            : strangerBuilder_.build();
+        to_bitField0_ |= 0x00000001;
+      }
+      result.bitField0_ |= to_bitField0_;
     }
 
     @java.lang.Override
@@ -427,6 +915,36 @@
       if (other.getConfirmedAgeMs() != 0L) {
         setConfirmedAgeMs(other.getConfirmedAgeMs());
       }
+      if (other.kind_ != 0) {
+        setKindValue(other.getKindValue());
+      }
+      if (other.getNumber() != 0L) {
+        setNumber(other.getNumber());
+      }
+      if (other.getDigest() != 0L) {
+        setDigest(other.getDigest());
+      }
+      if (other.getRosterEpoch() != 0L) {
+        setRosterEpoch(other.getRosterEpoch());
+      }
+      if (other.getGeneration() != 0L) {
+        setGeneration(other.getGeneration());
+      }
+      if (other.getConfirmed() != false) {
+        setConfirmed(other.getConfirmed());
+      }
+      if (!other.getMemberAges().isEmpty()) {
+        setMemberAges(other.getMemberAges());
+      }
+      if (!other.getMembersSeen().isEmpty()) {
+        setMembersSeen(other.getMembersSeen());
+      }
+      if (other.getWithMembers() != false) {
+        setWithMembers(other.getWithMembers());
+      }
+      if (other.hasStranger()) {
+        mergeStranger(other.getStranger());
+      }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
       return this;
@@ -469,6 +987,58 @@
               bitField0_ |= 0x00000002;
               break;
             } // case 16
+            case 24: {
+              kind_ = input.readEnum();
+              bitField0_ |= 0x00000004;
+              break;
+            } // case 24
+            case 32: {
+              number_ = input.readUInt64();
+              bitField0_ |= 0x00000008;
+              break;
+            } // case 32
+            case 41: {
+              digest_ = input.readFixed64();
+              bitField0_ |= 0x00000010;
+              break;
+            } // case 41
+            case 48: {
+              rosterEpoch_ = input.readUInt64();
+              bitField0_ |= 0x00000020;
+              break;
+            } // case 48
+            case 56: {
+              generation_ = input.readUInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
+            case 64: {
+              confirmed_ = input.readBool();
+              bitField0_ |= 0x00000080;
+              break;
+            } // case 64
+            case 74: {
+              memberAges_ = input.readBytes();
+              bitField0_ |= 0x00000100;
+              break;
+            } // case 74
+            case 82: {
+              input.readMessage(
+                  internalGetStrangerFieldBuilder().getBuilder(),
+                  extensionRegistry);
+              bitField0_ |= 0x00000800;
+              break;
+            } // case 82
+            case 90: {
+              membersSeen_ = input.readBytes();
+              bitField0_ |= 0x00000200;
+              break;
+            } // case 90
+            case 96: {
+              withMembers_ = input.readBool();
+              bitField0_ |= 0x00000400;
+              break;
+            } // case 96
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -764,6 +1334,529 @@
       return this;
     }
 
+    private int kind_ = 0;
+    /**
+     * <code>.limpetring.peer.VersionExchange.Kind kind = 3;</code>
+     * @return The enum numeric value on the wire for kind.
+     */
+    @java.lang.Override public int getKindValue() {
+      return kind_;
+    }
+    /**
+     * <code>.limpetring.peer.VersionExchange.Kind kind = 3;</code>
+     * @param value The enum numeric value on the wire for kind to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKindValue(int value) {
+      kind_ = value;
+      bitField0_ |= 0x00000004;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.limpetring.peer.VersionExchange.Kind kind = 3;</code>
+     * @return The kind.
+     */
+    @java.lang.Override
+    public org.limpetring.peer.proto.VersionExchange.Kind getKind() {
+      org.limpetring.peer.proto.VersionExchange.Kind result = org.limpetring.peer.proto.VersionExchange.Kind.forNumber(kind_);
+      return result == null ? org.limpetring.peer.proto.VersionExchange.Kind.UNRECOGNIZED : result;
+    }
+    /**
+     * <code>.limpetring.peer.VersionExchange.Kind kind = 3;</code>
+     * @param value The kind to set.
+     * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+     * @return This builder for chaining.
+     */
+    public Builder setKind(org.limpetring.peer.proto.VersionExchange.Kind value) {
+      java.util.Objects.requireNonNull(value);
+      bitField0_ |= 0x00000004;
+      kind_ = value.getNumber();
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>.limpetring.peer.VersionExchange.Kind kind = 3;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearKind() {
+      bitField0_ = (bitField0_ & ~0x00000004);
+      kind_ = 0;
+      onChanged();
+      return this;
+    }
+
+    private long number_ ;
+    /**
+     * <code>uint64 number = 4;</code>
+     * @return The number.
+     */
+    @java.lang.Override
+    public long getNumber() {
+      return number_;
+    }
+    /**
+     * <code>uint64 number = 4;</code>
+     * @param value The number to set.
+     * @return This builder for chaining.
+     */
+    public Builder setNumber(long value) {
+
+      number_ = value;
+      bitField0_ |= 0x00000008;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 number = 4;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearNumber() {
+      bitField0_ = (bitField0_ & ~0x00000008);
+      number_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long digest_ ;
+    /**
+     * <pre>
+     * Hash of all topics and versions held.
+     * </pre>
+     *
+     * <code>fixed64 digest = 5;</code>
+     * @return The digest.
+     */
+    @java.lang.Override
+    public long getDigest() {
+      return digest_;
+    }
+    /**
+     * <pre>
+     * Hash of all topics and versions held.
+     * </pre>
+     *
+     * <code>fixed64 digest = 5;</code>
+     * @param value The digest to set.
+     * @return This builder for chaining.
+     */
+    public Builder setDigest(long value) {
+
+      digest_ = value;
+      bitField0_ |= 0x00000010;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Hash of all topics and versions held.
+     * </pre>
+     *
+     * <code>fixed64 digest = 5;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearDigest() {
+      bitField0_ = (bitField0_ & ~0x00000010);
+      digest_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long rosterEpoch_ ;
+    /**
+     * <code>uint64 roster_epoch = 6;</code>
+     * @return The rosterEpoch.
+     */
+    @java.lang.Override
+    public long getRosterEpoch() {
+      return rosterEpoch_;
+    }
+    /**
+     * <code>uint64 roster_epoch = 6;</code>
+     * @param value The rosterEpoch to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRosterEpoch(long value) {
+
+      rosterEpoch_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 roster_epoch = 6;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearRosterEpoch() {
+      bitField0_ = (bitField0_ & ~0x00000020);
+      rosterEpoch_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private long generation_ ;
+    /**
+     * <code>uint64 generation = 7;</code>
+     * @return The generation.
+     */
+    @java.lang.Override
+    public long getGeneration() {
+      return generation_;
+    }
+    /**
+     * <code>uint64 generation = 7;</code>
+     * @param value The generation to set.
+     * @return This builder for chaining.
+     */
+    public Builder setGeneration(long value) {
+
+      generation_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <code>uint64 generation = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearGeneration() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      generation_ = 0L;
+      onChanged();
+      return this;
+    }
+
+    private boolean confirmed_ ;
+    /**
+     * <pre>
+     * Whether confirmed_age_ms is meant.
+     * </pre>
+     *
+     * <code>bool confirmed = 8;</code>
+     * @return The confirmed.
+     */
+    @java.lang.Override
+    public boolean getConfirmed() {
+      return confirmed_;
+    }
+    /**
+     * <pre>
+     * Whether confirmed_age_ms is meant.
+     * </pre>
+     *
+     * <code>bool confirmed = 8;</code>
+     * @param value The confirmed to set.
+     * @return This builder for chaining.
+     */
+    public Builder setConfirmed(boolean value) {
+
+      confirmed_ = value;
+      bitField0_ |= 0x00000080;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether confirmed_age_ms is meant.
+     * </pre>
+     *
+     * <code>bool confirmed = 8;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearConfirmed() {
+      bitField0_ = (bitField0_ & ~0x00000080);
+      confirmed_ = false;
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.ByteString memberAges_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * One byte for each daemon of the roster in sorted order: age in units of 50 ms, 255 for none.
+     * </pre>
+     *
+     * <code>bytes member_ages = 9;</code>
+     * @return The memberAges.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getMemberAges() {
+      return memberAges_;
+    }
+    /**
+     * <pre>
+     * One byte for each daemon of the roster in sorted order: age in units of 50 ms, 255 for none.
+     * </pre>
+     *
+     * <code>bytes member_ages = 9;</code>
+     * @param value The memberAges to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMemberAges(com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      memberAges_ = value;
+      bitField0_ |= 0x00000100;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * One byte for each daemon of the roster in sorted order: age in units of 50 ms, 255 for none.
+     * </pre>
+     *
+     * <code>bytes member_ages = 9;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMemberAges() {
+      bitField0_ = (bitField0_ & ~0x00000100);
+      memberAges_ = getDefaultInstance().getMemberAges();
+      onChanged();
+      return this;
+    }
+
+    private com.google.protobuf.ByteString membersSeen_ = com.google.protobuf.ByteString.EMPTY;
+    /**
+     * <pre>
+     * One bit for each daemon of the roster that is known to have learnt roster_epoch.
+     * </pre>
+     *
+     * <code>bytes members_seen = 11;</code>
+     * @return The membersSeen.
+     */
+    @java.lang.Override
+    public com.google.protobuf.ByteString getMembersSeen() {
+      return membersSeen_;
+    }
+    /**
+     * <pre>
+     * One bit for each daemon of the roster that is known to have learnt roster_epoch.
+     * </pre>
+     *
+     * <code>bytes members_seen = 11;</code>
+     * @param value The membersSeen to set.
+     * @return This builder for chaining.
+     */
+    public Builder setMembersSeen(com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      membersSeen_ = value;
+      bitField0_ |= 0x00000200;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * One bit for each daemon of the roster that is known to have learnt roster_epoch.
+     * </pre>
+     *
+     * <code>bytes members_seen = 11;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearMembersSeen() {
+      bitField0_ = (bitField0_ & ~0x00000200);
+      membersSeen_ = getDefaultInstance().getMembersSeen();
+      onChanged();
+      return this;
+    }
+
+    private boolean withMembers_ ;
+    /**
+     * <pre>
+     * Whether the answer should tell of all daemons.
+     * </pre>
+     *
+     * <code>bool with_members = 12;</code>
+     * @return The withMembers.
+     */
+    @java.lang.Override
+    public boolean getWithMembers() {
+      return withMembers_;
+    }
+    /**
+     * <pre>
+     * Whether the answer should tell of all daemons.
+     * </pre>
+     *
+     * <code>bool with_members = 12;</code>
+     * @param value The withMembers to set.
+     * @return This builder for chaining.
+     */
+    public Builder setWithMembers(boolean value) {
+
+      withMembers_ = value;
+      bitField0_ |= 0x00000400;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Whether the answer should tell of all daemons.
+     * </pre>
+     *
+     * <code>bool with_members = 12;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearWithMembers() {
+      bitField0_ = (bitField0_ & ~0x00000400);
+      withMembers_ = false;
+      onChanged();
+      return this;
+    }
+
+    private org.limpetring.peer.proto.DaemonRecord stranger_;
+    private com.google.protobuf.SingleFieldBuilder<
+        org.limpetring.peer.proto.DaemonRecord, org.limpetring.peer.proto.DaemonRecord.Builder, org.limpetring.peer.proto.DaemonRecordOrBuilder> strangerBuilder_;
+    /**
+     * <pre>
+     * The sender, where it is not in the roster.
+     * </pre>
+     *
+     * <code>.limpetring.peer.DaemonRecord stranger = 10;</code>
+     * @return Whether the stranger field is set.
+     */
+    public boolean hasStranger() {
+      return ((bitField0_ & 0x00000800) != 0);
+    }
+    /**
+     * <pre>
+     * The sender, where it is not in the roster.
+     * </pre>
+     *
+     * <code>.limpetring.peer.DaemonRecord stranger = 10;</code>
+     * @return The stranger.
+     */
+    public org.limpetring.peer.proto.DaemonRecord getStranger() {
+      if (strangerBuilder_ == null) {
+        return stranger_ == null ? org.limpetring.peer.proto.DaemonRecord.getDefaultInstance() : stranger_;
+      } else {
+        return strangerBuilder_.getMessage();
+      }
+    }
+    /**
+     * <pre>
+     * The sender, where it is not in the roster.
+     * </pre>
+     *
+     * <code>.limpetring.peer.DaemonRecord stranger = 10;</code>
+     */
+    public Builder setStranger(org.limpetring.peer.proto.DaemonRecord value) {
+      if (strangerBuilder_ == null) {
+        java.util.Objects.requireNonNull(value);
+        stranger_ = value;
+      } else {
+        strangerBuilder_.setMessage(value);
+      }
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender, where it is not in the roster.
+     * </pre>
+     *
+     * <code>.limpetring.peer.DaemonRecord stranger = 10;</code>
+     */
+    public Builder setStranger(
+        org.limpetring.peer.proto.DaemonRecord.Builder builderForValue) {
+      if (strangerBuilder_ == null) {
+        stranger_ = builderForValue.build();
+      } else {
+        strangerBuilder_.setMessage(builderForValue.build());
+      }
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender, where it is not in the roster.
+     * </pre>
+     *
+     * <code>.limpetring.peer.DaemonRecord stranger = 10;</code>
+     */
+    public Builder mergeStranger(org.limpetring.peer.proto.DaemonRecord value) {
+      if (strangerBuilder_ == null) {
+        if (((bitField0_ & 0x00000800) != 0) &&
+          stranger_ != null &&
+          stranger_ != org.limpetring.peer.proto.DaemonRecord.getDefaultInstance()) {
+          getStrangerBuilder().mergeFrom(value);
+        } else {
+          stranger_ = value;
+        }
+      } else {
+        strangerBuilder_.mergeFrom(value);
+      }
+      if (stranger_ != null) {
+        bitField0_ |= 0x00000800;
+        onChanged();
+      }
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender, where it is not in the roster.
+     * </pre>
+     *
+     * <code>.limpetring.peer.DaemonRecord stranger = 10;</code>
+     */
+    public Builder clearStranger() {
+      bitField0_ = (bitField0_ & ~0x00000800);
+      stranger_ = null;
+      if (strangerBuilder_ != null) {
+        strangerBuilder_.dispose();
+        strangerBuilder_ = null;
+      }
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * The sender, where it is not in the roster.
+     * </pre>
+     *
+     * <code>.limpetring.peer.DaemonRecord stranger = 10;</code>
+     */
+    public org.limpetring.peer.proto.DaemonRecord.Builder getStrangerBuilder() {
+      bitField0_ |= 0x00000800;
+      onChanged();
+      return internalGetStrangerFieldBuilder().getBuilder();
+    }
+    /**
+     * <pre>
+     * The sender, where it is not in the roster.
+     * </pre>
+     *
+     * <code>.limpetring.peer.DaemonRecord stranger = 10;</code>
+     */
+    public org.limpetring.peer.proto.DaemonRecordOrBuilder getStrangerOrBuilder() {
+      if (strangerBuilder_ != null) {
+        return strangerBuilder_.getMessageOrBuilder();
+      } else {
+        return stranger_ == null ?
+            org.limpetring.peer.proto.DaemonRecord.getDefaultInstance() : stranger_;
+      }
+    }
+    /**
+     * <pre>
+     * The sender, where it is not in the roster.
+     * </pre>
+     *
+     * <code>.limpetring.peer.DaemonRecord stranger = 10;</code>
+     */
+    private com.google.protobuf.SingleFieldBuilder<
+        org.limpetring.peer.proto.DaemonRecord, org.limpetring.peer.proto.DaemonRecord.Builder, org.limpetring.peer.proto.DaemonRecordOrBuilder> 
+        internalGetStrangerFieldBuilder() {
+      if (strangerBuilder_ == null) {
+        strangerBuilder_ = new com.google.protobuf.SingleFieldBuilder<
+            org.limpetring.peer.proto.DaemonRecord, org.limpetring.peer.proto.DaemonRecord.Builder, org.limpetring.peer.proto.DaemonRecordOrBuilder>(
+                getStranger(),
+                getParentForChildren(),
+                isClean());
+        stranger_ = null;
+      }
+      return strangerBuilder_;
+    }
+
     // @@protoc_insertion_point(builder_scope:limpetring.peer.VersionExchange)
   }
 
--- a/limpet-peer/src/main/java/org/limpetring/peer/proto/VersionExchangeOrBuilder.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/proto/VersionExchangeOrBuilder.java
@@ -43,4 +43,110 @@
    * @return The confirmedAgeMs.
    */
   long getConfirmedAgeMs();
+
+  /**
+   * <code>.limpetring.peer.VersionExchange.Kind kind = 3;</code>
+   * @return The enum numeric value on the wire for kind.
+   */
+  int getKindValue();
+  /**
+   * <code>.limpetring.peer.VersionExchange.Kind kind = 3;</code>
+   * @return The kind.
+   */
+  org.limpetring.peer.proto.VersionExchange.Kind getKind();
+
+  /**
+   * <code>uint64 number = 4;</code>
+   * @return The number.
+   */
+  long getNumber();
+
+  /**
+   * <pre>
+   * Hash of all topics and versions held.
+   * </pre>
+   *
+   * <code>fixed64 digest = 5;</code>
+   * @return The digest.
+   */
+  long getDigest();
+
+  /**
+   * <code>uint64 roster_epoch = 6;</code>
+   * @return The rosterEpoch.
+   */
+  long getRosterEpoch();
+
+  /**
+   * <code>uint64 generation = 7;</code>
+   * @return The generation.
+   */
+  long getGeneration();
+
+  /**
+   * <pre>
+   * Whether confirmed_age_ms is meant.
+   * </pre>
+   *
+   * <code>bool confirmed = 8;</code>
+   * @return The confirmed.
+   */
+  boolean getConfirmed();
+
+  /**
+   * <pre>
+   * One byte for each daemon of the roster in sorted order: age in units of 50 ms, 255 for none.
+   * </pre>
+   *
+   * <code>bytes member_ages = 9;</code>
+   * @return The memberAges.
+   */
+  com.google.protobuf.ByteString getMemberAges();
+
+  /**
+   * <pre>
+   * One bit for each daemon of the roster that is known to have learnt roster_epoch.
+   * </pre>
+   *
+   * <code>bytes members_seen = 11;</code>
+   * @return The membersSeen.
+   */
+  com.google.protobuf.ByteString getMembersSeen();
+
+  /**
+   * <pre>
+   * Whether the answer should tell of all daemons.
+   * </pre>
+   *
+   * <code>bool with_members = 12;</code>
+   * @return The withMembers.
+   */
+  boolean getWithMembers();
+
+  /**
+   * <pre>
+   * The sender, where it is not in the roster.
+   * </pre>
+   *
+   * <code>.limpetring.peer.DaemonRecord stranger = 10;</code>
+   * @return Whether the stranger field is set.
+   */
+  boolean hasStranger();
+  /**
+   * <pre>
+   * The sender, where it is not in the roster.
+   * </pre>
+   *
+   * <code>.limpetring.peer.DaemonRecord stranger = 10;</code>
+   * @return The stranger.
+   */
+  org.limpetring.peer.proto.DaemonRecord getStranger();
+  /**
+   * <pre>
+   * The sender, where it is not in the roster.
+   * </pre>
+   *
+   * <code>.limpetring.peer.DaemonRecord stranger = 10;</code>
+   */
+  org.limpetring.peer.proto.DaemonRecordOrBuilder getStrangerOrBuilder();
 }
