Read the platform directly only when knowledge is older than 2.2 s

Cause: daemons that watch nothing read the platform whenever their knowledge was older than 1.5 s, which happens at rest, so calls grew with the fleet. Change: a later threshold.

--- a/limpet-fleet/src/main/java/org/limpetring/fleet/node/FleetMachine.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/node/FleetMachine.java
@@ -37,6 +37,7 @@
 
   private static final int ACCEPTORS = 3;
   private static final long AGEING_MS = 1_500;
+  private static final long READ_AGE_MS = 2_200;
   private static final long CONTACT_MS = 1_000;
   private static final long READ_INTERVAL_MS = 1_000;
   private static final long SPREAD_INTERVAL_MS = 1_000;
@@ -103,7 +104,7 @@
   public List<FleetEffect> onTick(long nowMs) {
     long ageMs = nowMs - freshness.currentAtMs(nowMs);
     updateWatches();
-    if (ageMs > AGEING_MS && nowMs >= nextReadMs) {
+    if (ageMs > READ_AGE_MS && nowMs >= nextReadMs) {
       nextReadMs = nowMs + READ_INTERVAL_MS;
       out.add(new FleetEffect.ReadNewest());
     }
