Key and certificate must match; bounds of queues and network in memory tested

Cause: a pair of files read half-changed would have been used until the next reading; the queue bound and the network in memory had no proof.

--- a/limpet-peer/src/main/java/org/limpetring/peer/PeerTlsContexts.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/PeerTlsContexts.java
@@ -10,9 +10,11 @@
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.file.Files;
+import java.security.GeneralSecurityException;
 import java.util.Arrays;
 import org.jboss.logging.Logger;
 import org.limpetring.base.LogEvent;
+import org.limpetring.platform.http.PemContext;
 
 /**
  * TLS contexts of the current files. New connections use the newest readable files; open
@@ -33,7 +35,7 @@
     this.handshakeTimeoutMs = handshakeTimeoutMs;
     try {
       this.current = load(FileBytes.read(files));
-    } catch (IOException | IllegalArgumentException unusable) {
+    } catch (IOException | GeneralSecurityException | IllegalArgumentException unusable) {
       throw new IllegalArgumentException("TLS files of peers: " + unusable, unusable);
     }
   }
@@ -46,7 +48,7 @@
         current = load(bytes);
         PeerMetrics.CONNECTIONS.labelValues("tls_rotated").inc();
       }
-    } catch (IOException | IllegalArgumentException unusable) {
+    } catch (IOException | GeneralSecurityException | IllegalArgumentException unusable) {
       PeerMetrics.REJECTED.labelValues("tls_files").inc();
       LogEvent.UNEXPECTED_FAILURE.log(LOGGER, "rereading TLS files", unusable);
     }
@@ -65,7 +67,8 @@
     return handler;
   }
 
-  private static Loaded load(FileBytes bytes) throws IOException {
+  private static Loaded load(FileBytes bytes) throws IOException, GeneralSecurityException {
+    PemContext.checkPair(bytes.certificate, bytes.key);
     SslContext server =
         SslContextBuilder.forServer(stream(bytes.certificate), stream(bytes.key))
             .sslProvider(SslProvider.JDK)
--- a/limpet-peer/src/test/java/org/limpetring/peer/NettyPeerTransportTest.java
+++ b/limpet-peer/src/test/java/org/limpetring/peer/NettyPeerTransportTest.java
@@ -88,6 +88,26 @@
     }
   }
 
+  @Test
+  void queueTowardsAPeerThatDoesNotReadIsBounded() throws Exception {
+    double before = PeerMetrics.DROPPED.labelValues(PeerFailure.QUEUE_FULL.label()).get();
+    Envelope large =
+        Envelope.newBuilder()
+            .setStatePush(
+                StatePush.newBuilder()
+                    .setPayload(ByteString.copyFrom(new byte[PeerSettings.MAX_FRAME_BYTES / 2])))
+            .build();
+    try (ServerSocket silent = new ServerSocket(0, 8, InetAddress.getLoopbackAddress())) {
+      PeerAddress address = new PeerAddress("127.0.0.1", silent.getLocalPort());
+      for (int count = 0; count < 200; count++) {
+        one.send(address, large);
+      }
+      assertThat(PeerMetrics.DROPPED.labelValues(PeerFailure.QUEUE_FULL.label()).get())
+          .isAtLeast(before + 100);
+      assertThat(TestPeers.answers(one, TestPeers.addressOf(other))).isTrue();
+    }
+  }
+
   @Test
   void restartedPeerIsReachedOverANewConnection() {
     PeerAddress address = TestPeers.addressOf(other);
--- a/limpet-peer/src/test/java/org/limpetring/peer/PeerTlsTest.java
+++ b/limpet-peer/src/test/java/org/limpetring/peer/PeerTlsTest.java
@@ -5,6 +5,7 @@
 import io.netty.pkitesting.X509Bundle;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.awaitility.Awaitility;
 import org.jspecify.annotations.Nullable;
@@ -83,11 +84,18 @@
   }
 
   @Test
-  void unreadableFilesAreCountedAndChangeNothing() throws Exception {
-    double before = PeerMetrics.REJECTED.labelValues("tls_files").get();
-    Files.writeString(directory.resolve("s.key"), "no key");
-    Awaitility.await().until(() -> PeerMetrics.REJECTED.labelValues("tls_files").get() > before);
-    assertThat(served(files("c", authority, authority.getCertificatePEM(), NO_REREAD_MS))).isTrue();
+  void unusableFilesAreCountedAndChangeNothing() throws Exception {
+    PeerTls other = files("other", authority, authority.getCertificatePEM(), NO_REREAD_MS);
+    String key = Files.readString(directory.resolve("s.key"));
+    for (String unusable :
+        List.of(
+            "", "no key", key.substring(0, key.length() / 2), Files.readString(other.keyFile()))) {
+      Files.writeString(directory.resolve("s.key"), unusable);
+      double before = PeerMetrics.REJECTED.labelValues("tls_files").get();
+      Awaitility.await()
+          .until(() -> PeerMetrics.REJECTED.labelValues("tls_files").get() > before + 1);
+      assertThat(served(other)).isTrue();
+    }
   }
 
   private boolean served(@Nullable PeerTls tls) {
--- /dev/null
+++ b/limpet-peer/src/test/java/org/limpetring/peer/memory/package-info.java
@@ -0,0 +1,5 @@
+/** Tests of the network in memory. */
+@NullMarked
+package org.limpetring.peer.memory;
+
+import org.jspecify.annotations.NullMarked;
--- a/limpet-platform/src/main/java/org/limpetring/platform/http/PemContext.java
+++ b/limpet-platform/src/main/java/org/limpetring/platform/http/PemContext.java
@@ -7,6 +7,7 @@
 import java.security.KeyFactory;
 import java.security.KeyStore;
 import java.security.PrivateKey;
+import java.security.Signature;
 import java.security.cert.Certificate;
 import java.security.cert.CertificateFactory;
 import java.security.spec.InvalidKeySpecException;
@@ -18,9 +19,10 @@
 import javax.net.ssl.SSLContext;
 import javax.net.ssl.TrustManagerFactory;
 
-/** Builds TLS contexts from PEM text. */
-final class PemContext {
+/** Builds TLS contexts from PEM text and checks that keys match their certificates. */
+public final class PemContext {
 
+  private static final byte[] PROBE = {1, 2, 3, 4};
   private static final char[] NO_PASSWORD = new char[0];
   private static final List<String> KEY_KINDS = List.of("EC", "RSA", "EdDSA");
 
@@ -39,6 +41,7 @@
     trust.init(trusted);
     KeyStore own = emptyStore();
     if (keyPem.length > 0) {
+      checkPair(certificatePem, keyPem);
       Certificate[] chain = certificates(certificatePem).toArray(new Certificate[0]);
       own.setKeyEntry("own", privateKey(keyPem), NO_PASSWORD, chain);
     }
@@ -49,6 +52,32 @@
     return context;
   }
 
+  /**
+   * Checks that a private key belongs to the first certificate of a chain.
+   *
+   * @throws GeneralSecurityException if either is unreadable or they don't match
+   */
+  public static void checkPair(byte[] certificatePem, byte[] keyPem)
+      throws GeneralSecurityException {
+    PrivateKey key = privateKey(keyPem);
+    Certificate certificate = certificates(certificatePem).iterator().next();
+    String algorithm =
+        switch (key.getAlgorithm()) {
+          case "EC" -> "SHA256withECDSA";
+          case "RSA" -> "SHA256withRSA";
+          default -> key.getAlgorithm();
+        };
+    Signature signature = Signature.getInstance(algorithm);
+    signature.initSign(key);
+    signature.update(PROBE);
+    byte[] signed = signature.sign();
+    signature.initVerify(certificate.getPublicKey());
+    signature.update(PROBE);
+    if (!signature.verify(signed)) {
+      throw new GeneralSecurityException("private key does not match the certificate");
+    }
+  }
+
   private static KeyStore emptyStore() throws GeneralSecurityException, IOException {
     KeyStore store = KeyStore.getInstance("PKCS12");
     store.load(null, NO_PASSWORD);
