Form groups elsewhere when another domain falls short; share loads; plan twice a second

Change: TopUp gives a shortfall of 10 s to the other domains; loads are split between domains with a closed group; arrival is stamped on receipt.

--- a/limpet-groups/src/main/java/org/limpetring/groups/control/ControlSettings.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/control/ControlSettings.java
@@ -9,6 +9,7 @@
  * @param freshMs age up to which evidence counts on the request path
  * @param publishMs time between two statements of this observer that say the same
  * @param planReadMs time between two readings of all plans
+ * @param planMs time between two rounds of planning
  * @param roundMs longest time between reading a plan and sending an order that rests on it
  * @param orderRetryMs time before the same order goes to the same host again
  */
@@ -17,11 +18,12 @@
     long freshMs,
     long publishMs,
     long planReadMs,
+    long planMs,
     long roundMs,
     long orderRetryMs,
     PlannerPolicy planner) {
 
   /** Settings of the daemon. */
   public static final ControlSettings DEFAULT =
-      new ControlSettings(500, 2_000, 1_000, 2_000, 500, 2_000, PlannerPolicy.DEFAULT);
+      new ControlSettings(500, 2_000, 1_000, 2_000, 500, 500, 2_000, PlannerPolicy.DEFAULT);
 }
--- a/limpet-groups/src/main/java/org/limpetring/groups/control/GroupController.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/control/GroupController.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Predicate;
 import java.util.stream.Collectors;
 import org.jspecify.annotations.Nullable;
 import org.limpetring.base.Clock;
@@ -58,11 +59,12 @@
   private final PlannerRound round;
   private final Executor planExecutor;
   private final AtomicBoolean isPlanning = new AtomicBoolean();
-  private final ConcurrentLinkedQueue<Observation> arrived = new ConcurrentLinkedQueue<>();
+  private final ConcurrentLinkedQueue<Arrival> arrived = new ConcurrentLinkedQueue<>();
   private final AtomicReference<ServingView> view = new AtomicReference<>(ServingView.EMPTY);
   private final AtomicReference<Observation> own;
   private List<ObservedGroup> published = List.of();
   private long publishedMs;
+  private long plannedMs = Long.MIN_VALUE / 2;
   private long planReadMs = Long.MIN_VALUE / 2;
 
   /**
@@ -108,7 +110,7 @@
 
   /** Takes another observer's statement; from any thread. */
   public void onObservation(Observation observation) {
-    arrived.add(observation);
+    arrived.add(new Arrival(observation, clock.nowMs()));
   }
 
   /** Takes a plan that a watch or a peer has delivered; from any thread. */
@@ -217,22 +219,25 @@
 
   private void refreshView() {
     long nowMs = clock.nowMs();
-    for (Observation next = arrived.poll(); next != null; next = arrived.poll()) {
-      merge.onObservation(next, nowMs);
+    for (Arrival next = arrived.poll(); next != null; next = arrived.poll()) {
+      merge.onObservation(next.observation(), next.arrivedMs());
     }
     view.set(ServingView.of(topology.withoutOut(merge.merge(nowMs))));
   }
 
   private void startPlanning(AcceptedConfig config) {
-    if (!isPlanning.compareAndSet(false, true)) {
+    long nowMs = clock.nowMs();
+    if (nowMs - plannedMs < settings.planMs() || !isPlanning.compareAndSet(false, true)) {
       return;
     }
-    long nowMs = clock.nowMs();
+    plannedMs = nowMs;
     boolean readsPlans = nowMs - planReadMs >= settings.planReadMs() || isPlanOutdated();
     planReadMs = readsPlans ? nowMs : planReadMs;
     ReportBook reports = monitor.book().copy();
-    Set<GroupId> serving =
-        view().servingAt(nowMs).stream().map(ServingGroup::id).collect(Collectors.toSet());
+    PlannerRound.GroupStates states =
+        new PlannerRound.GroupStates(
+            ids(view().all(), group -> group.servesAt(nowMs)),
+            ids(view().all(), MergedGroup::isSilent));
     List<PlannerRound.Domain> domains = plannedDomains();
     planExecutor.execute(
         () -> {
@@ -240,7 +245,7 @@
             if (readsPlans) {
               readPlans();
             }
-            domains.forEach(domain -> round.run(domain, config, reports, serving));
+            domains.forEach(domain -> round.run(domain, config, reports, states));
           } finally {
             isPlanning.set(false);
           }
@@ -269,10 +274,20 @@
         .toList();
   }
 
+  private static Set<GroupId> ids(List<MergedGroup> groups, Predicate<MergedGroup> filter) {
+    return groups.stream()
+        .filter(filter)
+        .map(group -> group.group().id())
+        .collect(Collectors.toSet());
+  }
+
   private void readPlans() {
     @Nullable List<StoredPlan> read = planStore.readAll();
     if (read != null) {
       read.forEach(plans::offer);
     }
   }
+
+  /** Observation of a peer with its time of arrival, from which its delay is told. */
+  private record Arrival(Observation observation, long arrivedMs) {}
 }
--- a/limpet-groups/src/main/java/org/limpetring/groups/control/PlannerRound.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/control/PlannerRound.java
@@ -18,6 +18,7 @@
 import org.limpetring.groups.MemberPort;
 import org.limpetring.groups.OrderResult;
 import org.limpetring.groups.Plan;
+import org.limpetring.groups.PlannedGroup;
 import org.limpetring.groups.monitor.GroupMetrics;
 import org.limpetring.groups.monitor.ReportBook;
 import org.limpetring.groups.order.OrderPlanner;
@@ -62,7 +63,7 @@
     this.settings = settings;
   }
 
-  void run(Domain domain, AcceptedConfig config, ReportBook reports, Set<GroupId> serving) {
+  void run(Domain domain, AcceptedConfig config, ReportBook reports, GroupStates states) {
     if (!inputs.mayPlan(domain.name())) {
       return;
     }
@@ -74,7 +75,7 @@
     }
     Deciders decide = deciders.computeIfAbsent(domain.name(), name -> new Deciders(settings));
     PlannerDecision decision =
-        decide.planner.plan(input(stored.plan(), config, reports, serving), startedMs);
+        decide.planner.plan(input(stored.plan(), config, reports, states), startedMs);
     if (decision instanceof PlannerDecision.Replace replace) {
       stored = store.replace(stored, replace.plan());
       if (stored == null) {
@@ -83,7 +84,7 @@
       }
       cache.offer(stored);
     }
-    sendOrders(domain, stored, reports, decide, startedMs);
+    sendOrders(domain, stored, reports, decide, states, startedMs);
   }
 
   private void refresh(FabricDomain domain) {
@@ -103,20 +104,32 @@
   }
 
   private PlannerInput input(
-      Plan plan, AcceptedConfig config, ReportBook reports, Set<GroupId> serving) {
+      Plan plan, AcceptedConfig config, ReportBook reports, GroupStates states) {
     List<Plan> others =
         cache.all().stream().filter(other -> !other.domain().equals(plan.domain())).toList();
     return new PlannerInput(
-        plan, others, config.pools(), config.marks(), inputs.hosts(), reports, serving);
+        plan,
+        others,
+        config.pools(),
+        config.marks(),
+        inputs.hosts(),
+        reports,
+        states.serving(),
+        states.silent());
   }
 
   private void sendOrders(
-      Domain domain, StoredPlan stored, ReportBook reports, Deciders decide, long startedMs) {
+      Domain domain,
+      StoredPlan stored,
+      ReportBook reports,
+      Deciders decide,
+      GroupStates states,
+      long startedMs) {
     OrderPolicy policy =
         new OrderPolicy(
             settings.planner().freshMs(),
             settings.orderRetryMs(),
-            Math.max(1, inputs.weights().loadsAtOnce()));
+            loadShare(domain.name(), states));
     List<MemberOrder> due =
         decide.orders.due(
             stored.plan(), domain.addresses().keySet(), reports, policy, clock.nowMs());
@@ -129,6 +142,19 @@
     }
   }
 
+  /** Loads at once of one domain: the store's limit split between domains with a closed group. */
+  private int loadShare(FabricDomain domain, GroupStates states) {
+    int sharers = 1;
+    for (Plan plan : cache.all()) {
+      boolean hasClosed =
+          plan.groups().stream()
+              .filter(group -> group.state() == PlannedGroup.State.SERVING)
+              .anyMatch(group -> !states.serving().contains(group.id()));
+      sharers += hasClosed && !plan.domain().equals(domain) ? 1 : 0;
+    }
+    return Math.max(1, inputs.weights().loadsAtOnce() / sharers);
+  }
+
   private boolean maySend(Domain domain, StoredPlan stored, MemberOrder order, long startedMs) {
     if (!domain.fenced().contains(order.host())) {
       @Nullable StoredPlan actual = store.read(domain.name());
@@ -165,6 +191,15 @@
     }
   }
 
+  /** Groups that serve and groups with a member that no observer reaches. */
+  record GroupStates(Set<GroupId> serving, Set<GroupId> silent) {
+
+    GroupStates {
+      serving = Set.copyOf(serving);
+      silent = Set.copyOf(silent);
+    }
+  }
+
   /** Order that has left this daemon. */
   record SentOrder(HostId host, long sentMs) {}
 
--- a/limpet-groups/src/main/java/org/limpetring/groups/monitor/ObservationMerge.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/monitor/ObservationMerge.java
@@ -87,7 +87,7 @@
             .filter(aged -> aged.observed().verdict() == Verdict.WHOLE && aged.ageMs() <= freshMs)
             .toList();
     if (whole.isEmpty()) {
-      return MergedGroup.closed(youngest.observed().group(), youngest.observed().reason());
+      return MergedGroup.silent(youngest.observed().group(), youngest.observed().reason());
     }
     Aged best = youngest(whole.stream());
     return MergedGroup.open(best.observed().group(), nowMs + freshMs - best.ageMs());
--- a/limpet-groups/src/main/java/org/limpetring/groups/plan/GroupPlanner.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/GroupPlanner.java
@@ -72,8 +72,14 @@
   static final class Pace {
 
     private final Map<GroupId, Long> drainingSinceMs = new HashMap<>();
+    private final TopUp topUp = new TopUp();
     private long lastMoveMs = Long.MIN_VALUE / 2;
 
+    /** Memory of other domains' shortfalls. */
+    TopUp topUp() {
+      return topUp;
+    }
+
     void note(Iterable<PlannedGroup> groups, long nowMs) {
       Map<GroupId, Long> current = new HashMap<>();
       for (PlannedGroup group : groups) {
--- a/limpet-groups/src/main/java/org/limpetring/groups/plan/PlannerInput.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/PlannerInput.java
@@ -17,6 +17,7 @@
  * @param hosts the platform's host list, which lags
  * @param reports newest status of the upstreams in the domain
  * @param serving groups of all domains that serve by the observers' word
+ * @param silent groups of all domains with a member that no observer reaches
  */
 public record PlannerInput(
     Plan plan,
@@ -25,12 +26,14 @@
     ServiceMarks marks,
     List<HostEntry> hosts,
     ReportBook reports,
-    Set<GroupId> serving) {
+    Set<GroupId> serving,
+    Set<GroupId> silent) {
 
   /** Copies the collections. */
   public PlannerInput {
     others = List.copyOf(others);
     hosts = List.copyOf(hosts);
     serving = Set.copyOf(serving);
+    silent = Set.copyOf(silent);
   }
 }
--- a/limpet-groups/src/main/java/org/limpetring/groups/plan/PlannerPolicy.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/PlannerPolicy.java
@@ -8,6 +8,8 @@
  * @param drainMinMs time between the order to drain and the earliest dissolution
  * @param drainDeadlineMs time after which a group is dissolved although requests are in progress
  * @param movePauseMs least time between two voluntary changes: a group reopened or stopped
+ * @param topUpAfterMs how long another domain must fall short of its quota before its groups are
+ *     formed elsewhere
  * @param swapsBack whether a free host with weights replaces a member that still loads them
  * @param breaksUp whether incomplete groups give hosts to others
  * @param preloadsSpares whether spares load the weights before they are needed
@@ -18,24 +20,12 @@
     long drainMinMs,
     long drainDeadlineMs,
     long movePauseMs,
+    long topUpAfterMs,
     boolean swapsBack,
     boolean breaksUp,
     boolean preloadsSpares) {
 
   /** Policy of the daemon. */
   public static final PlannerPolicy DEFAULT =
-      new PlannerPolicy(3_000, 1_000, 3_000, 900_000, 1_000, true, true, true);
-
-  /** The same policy with another patience. */
-  public PlannerPolicy withPatienceMs(long newPatienceMs) {
-    return new PlannerPolicy(
-        freshMs,
-        newPatienceMs,
-        drainMinMs,
-        drainDeadlineMs,
-        movePauseMs,
-        swapsBack,
-        breaksUp,
-        preloadsSpares);
-  }
+      new PlannerPolicy(3_000, 1_000, 3_000, 900_000, 1_000, 10_000, true, true, true);
 }
--- a/limpet-groups/src/main/java/org/limpetring/groups/plan/PoolFormation.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/PoolFormation.java
@@ -43,7 +43,7 @@
     this.nowMs = nowMs;
     this.candidates = new HashSet<>(pool.hosts());
     this.stop = new GroupStop(hosts, policy, pace, nowMs);
-    this.quotas = new PoolQuota(pool, input.hosts(), input.marks());
+    this.quotas = pace.topUp().quota(pool, input, policy.topUpAfterMs(), nowMs);
     this.quota = quotas.of(input.plan().domain());
   }
 
--- a/limpet-groups/src/main/java/org/limpetring/groups/plan/PoolQuota.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/PoolQuota.java
@@ -26,8 +26,10 @@
 
   private final Map<FabricDomain, Integer> quotas = new TreeMap<>();
 
-  PoolQuota(Pool pool, List<HostEntry> hosts, ServiceMarks marks) {
-    List<Share> shares = shares(pool, hosts, marks);
+  /** Splits by what the hosts of each domain allow, but not above its limit where it has one. */
+  PoolQuota(
+      Pool pool, List<HostEntry> hosts, ServiceMarks marks, Map<FabricDomain, Integer> limits) {
+    List<Share> shares = shares(pool, hosts, marks, limits);
     if (pool.groupsWanted() == 0) {
       shares.forEach(share -> quotas.put(share.domain, share.capacity));
       return;
@@ -66,7 +68,8 @@
     shares.forEach(share -> quotas.put(share.domain, share.given));
   }
 
-  private static List<Share> shares(Pool pool, List<HostEntry> hosts, ServiceMarks marks) {
+  private static List<Share> shares(
+      Pool pool, List<HostEntry> hosts, ServiceMarks marks, Map<FabricDomain, Integer> limits) {
     Set<HostId> candidates = new HashSet<>(pool.hosts());
     Map<FabricDomain, List<HostEntry>> byDomain = new TreeMap<>();
     for (HostEntry entry : hosts) {
@@ -77,10 +80,11 @@
     }
     List<Share> shares = new ArrayList<>();
     byDomain.forEach(
-        (domain, entries) ->
-            shares.add(
-                new Share(
-                    domain, entries.get(0).failureDomain(), entries.size() / pool.groupSize())));
+        (domain, entries) -> {
+          int capacity = entries.size() / pool.groupSize();
+          int limit = limits.getOrDefault(domain, capacity);
+          shares.add(new Share(domain, entries.get(0).failureDomain(), Math.min(capacity, limit)));
+        });
     return shares;
   }
 
--- a/limpet-groups/src/test/java/org/limpetring/groups/world/FakeDaemon.java
+++ b/limpet-groups/src/test/java/org/limpetring/groups/world/FakeDaemon.java
@@ -14,6 +14,7 @@
 import org.limpetring.groups.control.ControlSettings;
 import org.limpetring.groups.control.GroupController;
 import org.limpetring.groups.control.GroupInputs;
+import org.limpetring.groups.monitor.Observation;
 import org.limpetring.platform.HostEntry;
 import org.limpetring.platform.WeightStore;
 import org.limpetring.platform.memory.FaultyObjectStore;
@@ -30,7 +31,9 @@
   final Set<FabricDomain> planned = new HashSet<>();
   final Set<HostId> unreachable = new HashSet<>();
   final Set<FakeDaemon> parted = new HashSet<>();
+  private final List<Observation> inbox = new ArrayList<>();
   final List<MemberOrder> heldOrders = new ArrayList<>();
+  boolean lagsConfig;
   boolean isPaused;
   boolean holdsOrders;
   boolean losesOrderAnswers;
@@ -60,6 +63,8 @@
 
   /** Ticks and hands the observation to the other daemons if it is new. */
   void tick() {
+    inbox.forEach(controller::onObservation);
+    inbox.clear();
     controller.tick();
     if (controller.observation().version() > sentVersion) {
       sentVersion = controller.observation().version();
@@ -67,6 +72,15 @@
     }
   }
 
+  /** Receives at once, or keeps in the receive buffer while the process is paused. */
+  void receive(Observation observation) {
+    if (isPaused) {
+      inbox.add(observation);
+    } else {
+      controller.onObservation(observation);
+    }
+  }
+
   @Override
   public ReportResult report(String address) {
     FakeEngine engine = world.engineAt(address);
--- a/limpet-groups/src/test/java/org/limpetring/groups/world/FormationRun.java
+++ b/limpet-groups/src/test/java/org/limpetring/groups/world/FormationRun.java
@@ -177,6 +177,7 @@
           DEFAULT.drainMinMs(),
           DEFAULT.drainDeadlineMs(),
           DEFAULT.movePauseMs(),
+          DEFAULT.topUpAfterMs(),
           swapsBack,
           breaksUp,
           preloadsSpares);
