--- /dev/null
+++ b/limpet-routing/src/main/java/org/limpetring/routing/poison/package-info.java
@@ -0,0 +1,5 @@
+/** Requests that crash the upstreams that run them. */
+@NullMarked
+package org.limpetring.routing.poison;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/limpet-routing/src/test/java/org/limpetring/routing/RequestPathConcurrencyTest.java
@@ -0,0 +1,177 @@
+package org.limpetring.routing;
+
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import org.jetbrains.lincheck.datastructures.Operation;
+import org.jetbrains.lincheck.datastructures.StressOptions;
+import org.jspecify.annotations.Nullable;
+import org.junit.jupiter.api.Test;
+import org.limpetring.base.CallerId;
+import org.limpetring.base.DaemonId;
+import org.limpetring.base.FailureDomain;
+import org.limpetring.base.GroupId;
+import org.limpetring.base.HostId;
+import org.limpetring.base.PoolName;
+import org.limpetring.fleet.DaemonEntry;
+import org.limpetring.fleet.Roster;
+import org.limpetring.groups.ServingGroup;
+import org.limpetring.routing.admit.AdmissionEffect;
+import org.limpetring.routing.admit.AdmissionGate;
+import org.limpetring.routing.admit.AdmissionSettings;
+import org.limpetring.routing.choose.GroupIndex;
+import org.limpetring.routing.choose.GroupPlacement;
+import org.limpetring.routing.choose.InFlightCounts;
+import org.limpetring.routing.cold.ColdAnswer;
+import org.limpetring.routing.cold.ColdGate;
+import org.limpetring.routing.cold.ColdPermit;
+import org.limpetring.routing.cold.ColdSettings;
+
+/** Shared state of the request path, checked for linearizability under stress. */
+public class RequestPathConcurrencyTest {
+
+  private static final int PLACES = 2;
+  private static final long FAR_MS = 1_000_000;
+  private static final DaemonId SELF = new DaemonId("d");
+  private static final FailureDomain DOMAIN = new FailureDomain("a");
+  private static final ServingGroup GROUP =
+      new ServingGroup(
+          new GroupId("g"),
+          new PoolName("p"),
+          1,
+          List.of(new HostId("h")),
+          "127.0.0.1:1",
+          DOMAIN,
+          "i",
+          false,
+          0);
+
+  /** In-flight counts with a limit. */
+  public static class Counts {
+
+    private final InFlightCounts inFlight = new InFlightCounts();
+
+    /** Begins a request unless all places are taken. */
+    @Operation
+    public boolean begin() {
+      return inFlight.tryBegin(GROUP.id(), PLACES);
+    }
+
+    /** Ends a request. */
+    @Operation
+    public void end() {
+      inFlight.end(GROUP.id());
+    }
+
+    /** Requests in progress. */
+    @Operation
+    public int get() {
+      return inFlight.get(GROUP.id());
+    }
+  }
+
+  /** Gate without a queue. */
+  public static class Gate {
+
+    private final InFlightCounts inFlight = new InFlightCounts();
+    private final GroupIndex index = GroupIndex.of(List.of(GROUP));
+    private final AdmissionGate gate =
+        new AdmissionGate(
+            new AdmissionSettings(0, 1),
+            new GroupPlacement(
+                GROUP.pool(), () -> index, inFlight, group -> PLACES, new SplittableRandom(1)),
+            () -> 0);
+
+    /** Enters; tells whether admitted. */
+    @Operation
+    public boolean enter() {
+      AdmissionGate.Pass pass = gate.enter(new CallerId("c"), 1, FAR_MS, Set.of(), 0);
+      return pass.decision().join() instanceof AdmissionEffect.Admit;
+    }
+
+    /** Leaves; tells whether anyone was admitted. */
+    @Operation
+    public synchronized boolean leave() {
+      boolean isAnyIn = inFlight.get(GROUP.id()) > 0;
+      if (isAnyIn) {
+        gate.release(GROUP);
+      }
+      return isAnyIn;
+    }
+
+    /** Requests in progress. */
+    @Operation
+    public int get() {
+      return inFlight.get(GROUP.id());
+    }
+  }
+
+  /** Permits of a cold group with one slot open. */
+  public static class Cold {
+
+    private final ColdGate gate = new ColdGate(SELF, ColdSettings.DEFAULT);
+    private final Deque<ColdPermit> permits = new ArrayDeque<>();
+
+    /** The only daemon of a roster that has rested. */
+    public Cold() {
+      gate.onRoster(new Roster(1, List.of(new DaemonEntry(SELF, "127.0.0.1", 1, DOMAIN))), 0);
+    }
+
+    /** Acquires a permit; tells whether granted. */
+    @Operation
+    public boolean acquire() {
+      ColdAnswer answer = gate.tryAcquire(GROUP, 4, 10, true, FAR_MS);
+      if (answer instanceof ColdAnswer.Granted granted) {
+        synchronized (permits) {
+          permits.addLast(granted.permit());
+        }
+        return true;
+      }
+      return false;
+    }
+
+    /** Requests that hold a permit. */
+    @Operation
+    public int inUse() {
+      return gate.inUse(GROUP.id(), FAR_MS);
+    }
+
+    /** Releases a permit that was granted; tells whether there was one. */
+    @Operation
+    public boolean release() {
+      @Nullable ColdPermit permit;
+      synchronized (permits) {
+        permit = permits.pollFirst();
+        if (permit != null) {
+          gate.release(permit, false);
+        }
+      }
+      return permit != null;
+    }
+  }
+
+  @Test
+  void inFlightCountsAreLinearizable() {
+    options().check(Counts.class);
+  }
+
+  @Test
+  void theAdmissionGateIsLinearizable() {
+    options().check(Gate.class);
+  }
+
+  @Test
+  void coldPermitsAreLinearizable() {
+    options().check(Cold.class);
+  }
+
+  private static StressOptions options() {
+    return new StressOptions()
+        .iterations(8)
+        .invocationsPerIteration(200)
+        .threads(2)
+        .actorsPerThread(3);
+  }
+}
--- /dev/null
+++ b/limpet-routing/src/test/java/org/limpetring/routing/package-info.java
@@ -0,0 +1,5 @@
+/** Tests across the decisions of the request path. */
+@NullMarked
+package org.limpetring.routing;
+
+import org.jspecify.annotations.NullMarked;
