--- a/limpet-load/src/main/java/org/limpetring/load/Sampler.java
+++ b/limpet-load/src/main/java/org/limpetring/load/Sampler.java
@@ -17,7 +17,7 @@
     int stranded = 0;
     for (EngineState state : states) {
       String group = state.report().group();
-      boolean healthy = state.alive() && !state.paused();
+      boolean healthy = state.alive() && !state.paused() && !state.draining();
       if (healthy && group != null && state.report().ready()) {
         groups.add(group);
         if (!state.report().warm()) {
--- a/limpet-load/src/main/java/org/limpetring/load/report/Plot.java
+++ b/limpet-load/src/main/java/org/limpetring/load/report/Plot.java
@@ -4,6 +4,7 @@
 import java.awt.Color;
 import java.io.IOException;
 import java.nio.file.Path;
+import java.util.List;
 import org.jfree.chart.ChartUtils;
 import org.jfree.chart.JFreeChart;
 import org.jfree.chart.axis.NumberAxis;
@@ -22,6 +23,9 @@
   private static final int WIDTH_PX = 1_000;
   private static final int HEIGHT_PX = 900;
   private static final double MS_PER_SECOND = 1_000;
+  private static final float LINE_WIDTH = 1.6f;
+  private static final List<Color> COLOURS =
+      List.of(new Color(0x1f77b4), new Color(0xd62728), new Color(0x2ca02c));
 
   private Plot() {}
 
@@ -33,6 +37,7 @@
     all.add(groups(report), 2);
     String title = report.experiment() + ", seed " + report.seed();
     JFreeChart chart = new JFreeChart(title, all);
+    chart.setBackgroundPaint(Color.WHITE);
     ChartUtils.saveChartAsPNG(file.toFile(), chart, WIDTH_PX, HEIGHT_PX);
   }
 
@@ -43,7 +48,7 @@
       offered.add(seconds(bin.atMs()), bin.offered());
       good.add(seconds(bin.atMs()), bin.good());
     }
-    return plot(report, "requests/s", offered, good);
+    return plot(report, "requests/s", good, offered);
   }
 
   private static XYPlot latencies(Report report) {
@@ -73,8 +78,15 @@
     for (XYSeries one : series) {
       data.addSeries(one);
     }
-    XYPlot plot =
-        new XYPlot(data, null, new NumberAxis(axis), new XYLineAndShapeRenderer(true, false));
+    XYLineAndShapeRenderer renderer = new XYLineAndShapeRenderer(true, false);
+    for (int index = 0; index < series.length; index++) {
+      renderer.setSeriesPaint(index, COLOURS.get(index));
+      renderer.setSeriesStroke(index, new BasicStroke(LINE_WIDTH));
+    }
+    XYPlot plot = new XYPlot(data, null, new NumberAxis(axis), renderer);
+    plot.setBackgroundPaint(Color.WHITE);
+    plot.setDomainGridlinePaint(Color.LIGHT_GRAY);
+    plot.setRangeGridlinePaint(Color.LIGHT_GRAY);
     for (Report.Mark mark : report.marks()) {
       plot.addDomainMarker(marker(mark));
     }
--- a/limpet-standin/src/main/java/org/limpetring/standin/engine/Engine.java
+++ b/limpet-standin/src/main/java/org/limpetring/standin/engine/Engine.java
@@ -69,6 +69,13 @@
     return null;
   }
 
+  /** State for an observer outside of the system under test. */
+  EngineState state() {
+    Membership own = membership();
+    boolean isDraining = own != null && own.draining();
+    return new EngineState(host.alive(), host.paused(), isDraining, report());
+  }
+
   /** What the engine says of itself. */
   Report report() {
     boolean ready = isReady();
--- a/limpet-standin/src/main/java/org/limpetring/standin/engine/EngineFleet.java
+++ b/limpet-standin/src/main/java/org/limpetring/standin/engine/EngineFleet.java
@@ -31,11 +31,7 @@
 
   /** State of each engine, dead ones included. */
   public List<EngineState> states() {
-    return engines.values().stream()
-        .map(
-            engine ->
-                new EngineState(engine.host().alive(), engine.host().paused(), engine.report()))
-        .toList();
+    return engines.values().stream().map(Engine::state).toList();
   }
 
   private static void crash(SimulatedHost host) {
