--- a/limpetd/src/main/java/org/limpetring/daemon/admission/WarmGroups.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/admission/WarmGroups.java
@@ -39,8 +39,7 @@
 
   /** Places of one pool. */
   Placement placement(PoolName pool) {
-    return new GroupPlacement(
-        pool, state::groups, inFlight, this::limitOf, RANDOM);
+    return new GroupPlacement(pool, state::groups, inFlight, this::limitOf, RANDOM);
   }
 
   /** Learns from one try how much the group bears. */
@@ -64,8 +63,7 @@
   }
 
   private AdaptiveLimit limit(ServingGroup group) {
-    return limits.computeIfAbsent(
-        group.id(), id -> new AdaptiveLimit(concurrency(group.pool())));
+    return limits.computeIfAbsent(group.id(), id -> new AdaptiveLimit(concurrency(group.pool())));
   }
 
   private int concurrency(PoolName name) {
--- a/limpetd/src/main/java/org/limpetring/daemon/caller/RequestDriver.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/caller/RequestDriver.java
@@ -204,8 +204,7 @@
       outcome = new Outcome.Unknown(ResultCode.UPSTREAM_TIMEOUT, "deadline passed");
     }
     long firstEventMs = sink.firstPartMs() < 0 ? -1 : sink.firstPartMs() - nowMs;
-    lastTry =
-        new Admission.TryReport(true, outcome.code(), firstEventMs, clock.nowMs() - nowMs);
+    lastTry = new Admission.TryReport(true, outcome.code(), firstEventMs, clock.nowMs() - nowMs);
     return outcome;
   }
 
--- a/limpetd/src/main/java/org/limpetring/daemon/caller/Suspects.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/caller/Suspects.java
@@ -54,8 +54,7 @@
     }
     CrashNotice notice = book.crashed(fingerprint(request, pool), group);
     if (notice.lives().size() >= PoisonBook.MAX_CRASHES) {
-      LogEvent.POISON_FOUND.log(
-          LOGGER, notice.fingerprint().value(), notice.lives().size());
+      LogEvent.POISON_FOUND.log(LOGGER, notice.fingerprint().value(), notice.lives().size());
     }
     notices.spread(notice);
   }
--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/FleetModule.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/FleetModule.java
@@ -35,8 +35,7 @@
   @Provides
   @Singleton
   PeerTransport transport(DaemonId self, DaemonSettings settings) {
-    PeerSettings peers =
-        PeerSettings.withDefaults(self, settings.address(), settings.peerPort());
+    PeerSettings peers = PeerSettings.withDefaults(self, settings.address(), settings.peerPort());
     return new NettyPeerTransport(peers, tls(settings.tls()));
   }
 
@@ -51,13 +50,7 @@
     DaemonEntry entry =
         new DaemonEntry(self, settings.address(), settings.peerPort(), settings.failureDomain());
     return new FleetNode(
-        entry,
-        FleetSettings.DEFAULT,
-        new TableFormat(),
-        store,
-        transport,
-        clock,
-        self.hashCode());
+        entry, FleetSettings.DEFAULT, new TableFormat(), store, transport, clock, self.hashCode());
   }
 
   private static @Nullable PeerTls tls(@Nullable TlsFiles files) {
--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/LiveState.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/LiveState.java
@@ -8,11 +8,11 @@
 import org.limpetring.base.DaemonId;
 import org.limpetring.daemon.caller.DaemonState;
 import org.limpetring.daemon.settings.DaemonSettings;
-import org.limpetring.groups.ServingView;
-import org.limpetring.routing.cold.ColdMarks;
 import org.limpetring.groups.ServingGroup;
+import org.limpetring.groups.ServingView;
 import org.limpetring.groups.control.GroupController;
 import org.limpetring.routing.choose.GroupIndex;
+import org.limpetring.routing.cold.ColdMarks;
 import org.limpetring.tables.AcceptedConfig;
 
 /** State of the daemon put together from the fleet and the groups. */
--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/PeerHub.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/PeerHub.java
@@ -21,8 +21,7 @@
 
   /** Takes the parts that receive frames. */
   @Inject
-  public PeerHub(
-      PeerTransport transport, FleetNode node, PlatformRelay relay, Carriers carriers) {
+  public PeerHub(PeerTransport transport, FleetNode node, PlatformRelay relay, Carriers carriers) {
     this.transport = transport;
     this.node = node;
     this.relay = relay;
--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/TopicSpread.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/TopicSpread.java
@@ -45,7 +45,8 @@
   public void start(GroupController groups) {
     node.addTopicListener(
         ObservationCodec.topicPrefix(),
-        state -> guarded(state, () -> groups.onObservation(ObservationCodec.decode(state.value()))));
+        state ->
+            guarded(state, () -> groups.onObservation(ObservationCodec.decode(state.value()))));
     node.addTopicListener(
         COLD_PREFIX,
         state -> guarded(state, () -> NoticeCodec.readCold(state.value()).forEach(marks::merge)));
