ConditionalWriter proved with writers on threads of their own

Cause: rivals were only scripted between the calls of one writer. Change: four threads of 50 updates each under refusal and lost answers, checked by the same oracle.

--- a/limpet-platform/src/test/java/org/limpetring/platform/client/ConditionalWriterTest.java
+++ b/limpet-platform/src/test/java/org/limpetring/platform/client/ConditionalWriterTest.java
@@ -10,8 +10,11 @@
 import java.io.UncheckedIOException;
 import java.util.ArrayList;
 import java.util.Collections;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.concurrent.ConcurrentHashMap;
 import net.jqwik.api.Arbitraries;
 import net.jqwik.api.Arbitrary;
 import net.jqwik.api.Combinators;
@@ -20,6 +23,7 @@
 import net.jqwik.api.Provide;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
+import org.limpetring.base.Clock;
 import org.limpetring.base.ManualClock;
 import org.limpetring.platform.ObjectStore;
 import org.limpetring.platform.ReadResult;
@@ -32,6 +36,8 @@
 
   private static final String KEY = "roster";
   private static final long TIMEOUT_MS = 200;
+  private static final int THREADS = 4;
+  private static final int UPDATES_PER_THREAD = 50;
   private static final ObjectMapper MAPPER = new ObjectMapper();
 
   @Property(tries = 3_000, seed = "4711")
@@ -73,30 +79,65 @@
         new ScriptedObjectStore(
             memory, () -> rival.update(KEY, current -> appended(current, "rival"), TIMEOUT_MS));
     ConditionalWriter writer = writer(store, "own", clock);
-    List<UpdateResult> results = new ArrayList<>();
+    Map<String, UpdateResult> results = new LinkedHashMap<>();
     for (int index = 0; index < updates.size(); index++) {
       String name = "own-" + index;
       store.script(updates.get(index).faults());
-      results.add(writer.update(KEY, current -> appended(current, name), TIMEOUT_MS));
+      results.put(name, writer.update(KEY, current -> appended(current, name), TIMEOUT_MS));
       if (updates.get(index).deliversDelayed()) {
         store.deliverDelayed();
       }
     }
     store.deliverDelayed();
-    List<String> names = names(memory);
-    for (int index = 0; index < results.size(); index++) {
-      int times = Collections.frequency(names, "own-" + index);
-      UpdateResult result = results.get(index);
-      assertWithMessage("%s: %s in %s", index, result, names).that(times).isAtMost(1);
+    verify(results, names(memory));
+  }
+
+  private static void verify(Map<String, UpdateResult> results, List<String> names) {
+    for (Map.Entry<String, UpdateResult> entry : results.entrySet()) {
+      int times = Collections.frequency(names, entry.getKey());
+      UpdateResult result = entry.getValue();
+      assertWithMessage("%s: %s in %s", entry.getKey(), result, names).that(times).isAtMost(1);
       if (result instanceof UpdateResult.Written) {
-        assertWithMessage("%s: %s", index, result).that(times).isEqualTo(1);
+        assertWithMessage("%s: %s", entry.getKey(), result).that(times).isEqualTo(1);
       }
       if (result instanceof UpdateResult.NotWritten) {
-        assertWithMessage("%s: %s", index, result).that(times).isEqualTo(0);
+        assertWithMessage("%s: %s", entry.getKey(), result).that(times).isEqualTo(0);
       }
     }
   }
 
+  @Test
+  void writersOnThreadsOfTheirOwn() throws Exception {
+    MemoryObjectStore memory = new MemoryObjectStore();
+    Map<String, UpdateResult> results = new ConcurrentHashMap<>();
+    List<Fault> faults =
+        List.of(Fault.NONE, Fault.DOWN, Fault.LOST_BEFORE_EFFECT, Fault.LOST_AFTER_EFFECT);
+    List<Thread> threads = new ArrayList<>();
+    for (int number = 0; number < THREADS; number++) {
+      String id = "t" + number;
+      Random random = new Random(number);
+      threads.add(
+          new Thread(
+              () -> {
+                ScriptedObjectStore store = new ScriptedObjectStore(memory, () -> {});
+                ConditionalWriter writer =
+                    new ConditionalWriter(
+                        store, id, Clock.system(), Pause.sleeping(), 1, 2, random.nextLong());
+                for (int count = 0; count < UPDATES_PER_THREAD; count++) {
+                  String name = id + "-" + count;
+                  store.script(random.ints(8, 0, 4).mapToObj(faults::get).toList());
+                  results.put(name, writer.update(KEY, current -> appended(current, name), 30_000));
+                }
+              }));
+    }
+    threads.forEach(Thread::start);
+    for (Thread thread : threads) {
+      thread.join();
+    }
+    assertThat(results).hasSize(THREADS * UPDATES_PER_THREAD);
+    verify(results, names(memory));
+  }
+
   @Test
   void lostAnswerIsSettledByReadingBack() {
     for (Fault fault : List.of(Fault.LOST_AFTER_EFFECT, Fault.LOST_BEFORE_EFFECT)) {
