--- a/limpet-fleet/src/test/java/org/limpetring/fleet/roster/RosterWorld.java
+++ b/limpet-fleet/src/test/java/org/limpetring/fleet/roster/RosterWorld.java
@@ -29,6 +29,7 @@
   private final Set<DaemonId> expected = new TreeSet<>();
   private final Set<DaemonId> dead = new TreeSet<>();
   private RosterRecord last = RosterRecord.EMPTY;
+  private final List<RosterRecord> history = new ArrayList<>(List.of(RosterRecord.EMPTY));
   private long nowMs;
   private int started;
   private int writes;
@@ -109,6 +110,7 @@
         if (job != null) {
           job.run();
           check();
+          assertThat(history).contains(node.machine.record());
         }
         if (nowMs % REPORT_MS == 0) {
           reportDead(node);
@@ -176,6 +178,7 @@
     RosterChange change = stored.changes().get(stored.changes().size() - 1);
     assertThat(change.evicted().size() * 2).isAtMost(last.roster().daemons().size());
     last = stored;
+    history.add(stored);
   }
 
   void settle() {
