--- a/limpet-groups/src/test/java/org/limpetring/groups/world/HistoryRun.java
+++ b/limpet-groups/src/test/java/org/limpetring/groups/world/HistoryRun.java
@@ -1,8 +1,10 @@
 package org.limpetring.groups.world;
 
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Random;
+import java.util.Set;
 import java.util.logging.Level;
 import java.util.logging.Logger;
 import org.limpetring.groups.world.GroupHistoryTest.Step;
@@ -39,6 +41,7 @@
       runFaults(random, done);
       done.clear();
       runPlannedMoves(random, done);
+      runLosses(random);
       return true;
     } catch (AssertionError | RuntimeException failure) {
       System.out.println("seed " + seed + ": " + failure + "\n  " + done);
@@ -63,6 +66,14 @@
     GroupHistoryTest.checkNothingCut(world);
   }
 
+  private static void runLosses(Random random) {
+    Set<Integer> crashed = new HashSet<>();
+    while (crashed.size() < 8 && random.nextInt(8) > 0) {
+      crashed.add(random.nextInt(14));
+    }
+    new FormationTest().survivorsServeAllGroupsTheyCan(crashed, random.nextBoolean());
+  }
+
   private static void apply(
       GroupWorld world, List<WorldActions> actions, Random random, List<Step> done) {
     int count = random.nextInt(MAX_ACTIONS);
