--- a/limpet-peer/src/main/java/org/limpetring/peer/proto/ClaimRequest.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/proto/ClaimRequest.java
@@ -7,7 +7,7 @@
 
 /**
  * <pre>
- * Asks the owner of a shard to claim an idempotency key.
+ * Asks the owner of a shard to claim an idempotency key, or tells what became of a claim.
  * </pre>
  *
  * Protobuf type {@code limpetring.peer.ClaimRequest}
@@ -32,9 +32,11 @@
     super(builder);
   }
   private ClaimRequest() {
-    key_ = "";
-    requestFingerprint_ = com.google.protobuf.ByteString.EMPTY;
+    kind_ = 0;
+    claim_ = "";
+    requestDigest_ = "";
     attempt_ = "";
+    runState_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -55,65 +57,242 @@
             org.limpetring.peer.proto.ClaimRequest.class, org.limpetring.peer.proto.ClaimRequest.Builder.class);
   }
 
-  public static final int SHARD_FIELD_NUMBER = 1;
-  private int shard_ = 0;
   /**
-   * <code>uint32 shard = 1;</code>
-   * @return The shard.
+   * Protobuf enum {@code limpetring.peer.ClaimRequest.Kind}
    */
-  @java.lang.Override
-  public int getShard() {
-    return shard_;
+  public enum Kind
+      implements com.google.protobuf.ProtocolMessageEnum {
+    /**
+     * <code>KIND_UNSPECIFIED = 0;</code>
+     */
+    KIND_UNSPECIFIED(0),
+    /**
+     * <code>CLAIM = 1;</code>
+     */
+    CLAIM(1),
+    /**
+     * <code>SETTLE = 2;</code>
+     */
+    SETTLE(2),
+    UNRECOGNIZED(-1),
+    ;
+
+    static {
+      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
+        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
+        /* major= */ 4,
+        /* minor= */ 36,
+        /* patch= */ 2,
+        /* suffix= */ "",
+        "Kind");
+    }
+    /**
+     * <code>KIND_UNSPECIFIED = 0;</code>
+     */
+    public static final int KIND_UNSPECIFIED_VALUE = 0;
+    /**
+     * <code>CLAIM = 1;</code>
+     */
+    public static final int CLAIM_VALUE = 1;
+    /**
+     * <code>SETTLE = 2;</code>
+     */
+    public static final int SETTLE_VALUE = 2;
+
+
+    public final int getNumber() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalArgumentException(
+            "Can't get the number of an unknown enum value.");
+      }
+      return value;
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     * @deprecated Use {@link #forNumber(int)} instead.
+     */
+    @java.lang.Deprecated
+    public static Kind valueOf(int value) {
+      return forNumber(value);
+    }
+
+    /**
+     * @param value The numeric wire value of the corresponding enum entry.
+     * @return The enum associated with the given numeric wire value.
+     */
+    public static Kind forNumber(int value) {
+      switch (value) {
+        case 0: return KIND_UNSPECIFIED;
+        case 1: return CLAIM;
+        case 2: return SETTLE;
+        default: return null;
+      }
+    }
+
+    public static com.google.protobuf.Internal.EnumLiteMap<Kind>
+        internalGetValueMap() {
+      return internalValueMap;
+    }
+    private static final com.google.protobuf.Internal.EnumLiteMap<
+        Kind> internalValueMap =
+          new com.google.protobuf.Internal.EnumLiteMap<Kind>() {
+            public Kind findValueByNumber(int number) {
+              return Kind.forNumber(number);
+            }
+          };
+
+    public final com.google.protobuf.Descriptors.EnumValueDescriptor
+        getValueDescriptor() {
+      if (this == UNRECOGNIZED) {
+        throw new java.lang.IllegalStateException(
+            "Can't get the descriptor of an unrecognized enum value.");
+      }
+      return getDescriptor().getValue(ordinal());
+    }
+    public final com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptorForType() {
+      return getDescriptor();
+    }
+    public static com.google.protobuf.Descriptors.EnumDescriptor
+        getDescriptor() {
+      return org.limpetring.peer.proto.ClaimRequest.getDescriptor().getEnumType(0);
+    }
+
+    private static final Kind[] VALUES = values();
+
+    public static Kind valueOf(
+        com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
+      if (desc.getType() != getDescriptor()) {
+        throw new java.lang.IllegalArgumentException(
+          "EnumValueDescriptor is not for this type.");
+      }
+      if (desc.getIndex() == -1) {
+        return UNRECOGNIZED;
+      }
+      return VALUES[desc.getIndex()];
+    }
+
+    private final int value;
+
+    private Kind(int value) {
+      this.value = value;
+    }
+
+    // @@protoc_insertion_point(enum_scope:limpetring.peer.ClaimRequest.Kind)
   }
 
-  public static final int KEY_FIELD_NUMBER = 2;
+  public static final int KIND_FIELD_NUMBER = 1;
+  private int kind_ = 0;
+  /**
+   * <code>.limpetring.peer.ClaimRequest.Kind kind = 1;</code>
+   * @return The enum numeric value on the wire for kind.
+   */
+  @java.lang.Override public int getKindValue() {
+    return kind_;
+  }
+  /**
+   * <code>.limpetring.peer.ClaimRequest.Kind kind = 1;</code>
+   * @return The kind.
+   */
+  @java.lang.Override public org.limpetring.peer.proto.ClaimRequest.Kind getKind() {
+    org.limpetring.peer.proto.ClaimRequest.Kind result = org.limpetring.peer.proto.ClaimRequest.Kind.forNumber(kind_);
+    return result == null ? org.limpetring.peer.proto.ClaimRequest.Kind.UNRECOGNIZED : result;
+  }
+
+  public static final int CLAIM_FIELD_NUMBER = 2;
   @SuppressWarnings("serial")
-  private volatile java.lang.Object key_ = "";
+  private volatile java.lang.Object claim_ = "";
   /**
-   * <code>string key = 2;</code>
-   * @return The key.
+   * <pre>
+   * Digest of caller and key.
+   * </pre>
+   *
+   * <code>string claim = 2;</code>
+   * @return The claim.
    */
   @java.lang.Override
-  public java.lang.String getKey() {
-    java.lang.Object ref = key_;
+  public java.lang.String getClaim() {
+    java.lang.Object ref = claim_;
     if (ref instanceof java.lang.String) {
       return (java.lang.String) ref;
     } else {
       com.google.protobuf.ByteString bs = 
           (com.google.protobuf.ByteString) ref;
       java.lang.String s = bs.toStringUtf8();
-      key_ = s;
+      claim_ = s;
       return s;
     }
   }
   /**
-   * <code>string key = 2;</code>
-   * @return The bytes for key.
+   * <pre>
+   * Digest of caller and key.
+   * </pre>
+   *
+   * <code>string claim = 2;</code>
+   * @return The bytes for claim.
    */
   @java.lang.Override
   public com.google.protobuf.ByteString
-      getKeyBytes() {
-    java.lang.Object ref = key_;
+      getClaimBytes() {
+    java.lang.Object ref = claim_;
     if (ref instanceof java.lang.String) {
       com.google.protobuf.ByteString b = 
           com.google.protobuf.ByteString.copyFromUtf8(
               (java.lang.String) ref);
-      key_ = b;
+      claim_ = b;
       return b;
     } else {
       return (com.google.protobuf.ByteString) ref;
     }
   }
 
-  public static final int REQUEST_FINGERPRINT_FIELD_NUMBER = 3;
-  private com.google.protobuf.ByteString requestFingerprint_ = com.google.protobuf.ByteString.EMPTY;
+  public static final int REQUEST_DIGEST_FIELD_NUMBER = 3;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object requestDigest_ = "";
   /**
-   * <code>bytes request_fingerprint = 3;</code>
-   * @return The requestFingerprint.
+   * <pre>
+   * Digest of the request's content.
+   * </pre>
+   *
+   * <code>string request_digest = 3;</code>
+   * @return The requestDigest.
    */
   @java.lang.Override
-  public com.google.protobuf.ByteString getRequestFingerprint() {
-    return requestFingerprint_;
+  public java.lang.String getRequestDigest() {
+    java.lang.Object ref = requestDigest_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      requestDigest_ = s;
+      return s;
+    }
+  }
+  /**
+   * <pre>
+   * Digest of the request's content.
+   * </pre>
+   *
+   * <code>string request_digest = 3;</code>
+   * @return The bytes for requestDigest.
+   */
+  @java.lang.Override
+  public com.google.protobuf.ByteString
+      getRequestDigestBytes() {
+    java.lang.Object ref = requestDigest_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      requestDigest_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
   }
 
   public static final int ATTEMPT_FIELD_NUMBER = 4;
@@ -155,30 +334,81 @@
     }
   }
 
-  public static final int ROSTER_EPOCH_FIELD_NUMBER = 5;
-  private long rosterEpoch_ = 0L;
+  public static final int KEY_TIME_MS_FIELD_NUMBER = 5;
+  private long keyTimeMs_ = 0L;
+  /**
+   * <pre>
+   * Creation time of the key, in milliseconds since the Unix epoch.
+   * </pre>
+   *
+   * <code>uint64 key_time_ms = 5;</code>
+   * @return The keyTimeMs.
+   */
+  @java.lang.Override
+  public long getKeyTimeMs() {
+    return keyTimeMs_;
+  }
+
+  public static final int RUN_STATE_FIELD_NUMBER = 6;
+  @SuppressWarnings("serial")
+  private volatile java.lang.Object runState_ = "";
+  /**
+   * <pre>
+   * Name of the run state that a settled claim ended with.
+   * </pre>
+   *
+   * <code>string run_state = 6;</code>
+   * @return The runState.
+   */
+  @java.lang.Override
+  public java.lang.String getRunState() {
+    java.lang.Object ref = runState_;
+    if (ref instanceof java.lang.String) {
+      return (java.lang.String) ref;
+    } else {
+      com.google.protobuf.ByteString bs = 
+          (com.google.protobuf.ByteString) ref;
+      java.lang.String s = bs.toStringUtf8();
+      runState_ = s;
+      return s;
+    }
+  }
   /**
-   * <code>uint64 roster_epoch = 5;</code>
-   * @return The rosterEpoch.
+   * <pre>
+   * Name of the run state that a settled claim ended with.
+   * </pre>
+   *
+   * <code>string run_state = 6;</code>
+   * @return The bytes for runState.
    */
   @java.lang.Override
-  public long getRosterEpoch() {
-    return rosterEpoch_;
+  public com.google.protobuf.ByteString
+      getRunStateBytes() {
+    java.lang.Object ref = runState_;
+    if (ref instanceof java.lang.String) {
+      com.google.protobuf.ByteString b = 
+          com.google.protobuf.ByteString.copyFromUtf8(
+              (java.lang.String) ref);
+      runState_ = b;
+      return b;
+    } else {
+      return (com.google.protobuf.ByteString) ref;
+    }
   }
 
-  public static final int FIRST_SENT_WALL_MS_FIELD_NUMBER = 6;
-  private long firstSentWallMs_ = 0L;
+  public static final int TIMEOUT_MS_FIELD_NUMBER = 7;
+  private long timeoutMs_ = 0L;
   /**
    * <pre>
-   * Time at which the caller first sent the key, in milliseconds since the Unix epoch; 0: unknown.
+   * Time after which the requester gives up.
    * </pre>
    *
-   * <code>uint64 first_sent_wall_ms = 6;</code>
-   * @return The firstSentWallMs.
+   * <code>uint64 timeout_ms = 7;</code>
+   * @return The timeoutMs.
    */
   @java.lang.Override
-  public long getFirstSentWallMs() {
-    return firstSentWallMs_;
+  public long getTimeoutMs() {
+    return timeoutMs_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -195,49 +425,54 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (shard_ != 0) {
-      output.writeUInt32(1, shard_);
+    if (kind_ != org.limpetring.peer.proto.ClaimRequest.Kind.KIND_UNSPECIFIED.getNumber()) {
+      output.writeEnum(1, kind_);
     }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 2, key_);
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(claim_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 2, claim_);
     }
-    if (!requestFingerprint_.isEmpty()) {
-      output.writeBytes(3, requestFingerprint_);
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestDigest_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 3, requestDigest_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(attempt_)) {
       com.google.protobuf.GeneratedMessage.writeString(output, 4, attempt_);
     }
-    if (rosterEpoch_ != 0L) {
-      output.writeUInt64(5, rosterEpoch_);
+    if (keyTimeMs_ != 0L) {
+      output.writeUInt64(5, keyTimeMs_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(runState_)) {
+      com.google.protobuf.GeneratedMessage.writeString(output, 6, runState_);
     }
-    if (firstSentWallMs_ != 0L) {
-      output.writeUInt64(6, firstSentWallMs_);
+    if (timeoutMs_ != 0L) {
+      output.writeUInt64(7, timeoutMs_);
     }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
     int size = 0;
-    if (shard_ != 0) {
+    if (kind_ != org.limpetring.peer.proto.ClaimRequest.Kind.KIND_UNSPECIFIED.getNumber()) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt32Size(1, shard_);
+        .computeEnumSize(1, kind_);
     }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(key_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, key_);
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(claim_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, claim_);
     }
-    if (!requestFingerprint_.isEmpty()) {
-      size += com.google.protobuf.CodedOutputStream
-        .computeBytesSize(3, requestFingerprint_);
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(requestDigest_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(3, requestDigest_);
     }
     if (!com.google.protobuf.GeneratedMessage.isStringEmpty(attempt_)) {
       size += com.google.protobuf.GeneratedMessage.computeStringSize(4, attempt_);
     }
-    if (rosterEpoch_ != 0L) {
+    if (keyTimeMs_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(5, rosterEpoch_);
+        .computeUInt64Size(5, keyTimeMs_);
+    }
+    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(runState_)) {
+      size += com.google.protobuf.GeneratedMessage.computeStringSize(6, runState_);
     }
-    if (firstSentWallMs_ != 0L) {
+    if (timeoutMs_ != 0L) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(6, firstSentWallMs_);
+        .computeUInt64Size(7, timeoutMs_);
     }
     return size;
   }
@@ -263,18 +498,19 @@
     }
     org.limpetring.peer.proto.ClaimRequest other = (org.limpetring.peer.proto.ClaimRequest) obj;
 
-    if (getShard()
-        != other.getShard()) return false;
-    if (!getKey()
-        .equals(other.getKey())) return false;
-    if (!getRequestFingerprint()
-        .equals(other.getRequestFingerprint())) return false;
+    if (kind_ != other.kind_) return false;
+    if (!getClaim()
+        .equals(other.getClaim())) return false;
+    if (!getRequestDigest()
+        .equals(other.getRequestDigest())) return false;
     if (!getAttempt()
         .equals(other.getAttempt())) return false;
-    if (getRosterEpoch()
-        != other.getRosterEpoch()) return false;
-    if (getFirstSentWallMs()
-        != other.getFirstSentWallMs()) return false;
+    if (getKeyTimeMs()
+        != other.getKeyTimeMs()) return false;
+    if (!getRunState()
+        .equals(other.getRunState())) return false;
+    if (getTimeoutMs()
+        != other.getTimeoutMs()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -286,20 +522,22 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + SHARD_FIELD_NUMBER;
-    hash = (53 * hash) + getShard();
-    hash = (37 * hash) + KEY_FIELD_NUMBER;
-    hash = (53 * hash) + getKey().hashCode();
-    hash = (37 * hash) + REQUEST_FINGERPRINT_FIELD_NUMBER;
-    hash = (53 * hash) + getRequestFingerprint().hashCode();
+    hash = (37 * hash) + KIND_FIELD_NUMBER;
+    hash = (53 * hash) + kind_;
+    hash = (37 * hash) + CLAIM_FIELD_NUMBER;
+    hash = (53 * hash) + getClaim().hashCode();
+    hash = (37 * hash) + REQUEST_DIGEST_FIELD_NUMBER;
+    hash = (53 * hash) + getRequestDigest().hashCode();
     hash = (37 * hash) + ATTEMPT_FIELD_NUMBER;
     hash = (53 * hash) + getAttempt().hashCode();
-    hash = (37 * hash) + ROSTER_EPOCH_FIELD_NUMBER;
+    hash = (37 * hash) + KEY_TIME_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getRosterEpoch());
-    hash = (37 * hash) + FIRST_SENT_WALL_MS_FIELD_NUMBER;
+        getKeyTimeMs());
+    hash = (37 * hash) + RUN_STATE_FIELD_NUMBER;
+    hash = (53 * hash) + getRunState().hashCode();
+    hash = (37 * hash) + TIMEOUT_MS_FIELD_NUMBER;
     hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getFirstSentWallMs());
+        getTimeoutMs());
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -399,7 +637,7 @@
   }
   /**
    * <pre>
-   * Asks the owner of a shard to claim an idempotency key.
+   * Asks the owner of a shard to claim an idempotency key, or tells what became of a claim.
    * </pre>
    *
    * Protobuf type {@code limpetring.peer.ClaimRequest}
@@ -435,12 +673,13 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      shard_ = 0;
-      key_ = "";
-      requestFingerprint_ = com.google.protobuf.ByteString.EMPTY;
+      kind_ = 0;
+      claim_ = "";
+      requestDigest_ = "";
       attempt_ = "";
-      rosterEpoch_ = 0L;
-      firstSentWallMs_ = 0L;
+      keyTimeMs_ = 0L;
+      runState_ = "";
+      timeoutMs_ = 0L;
       return this;
     }
 
@@ -475,22 +714,25 @@
     private void buildPartial0(org.limpetring.peer.proto.ClaimRequest result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.shard_ = shard_;
+        result.kind_ = kind_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.key_ = key_;
+        result.claim_ = claim_;
       }
       if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.requestFingerprint_ = requestFingerprint_;
+        result.requestDigest_ = requestDigest_;
       }
       if (((from_bitField0_ & 0x00000008) != 0)) {
         result.attempt_ = attempt_;
       }
       if (((from_bitField0_ & 0x00000010) != 0)) {
-        result.rosterEpoch_ = rosterEpoch_;
+        result.keyTimeMs_ = keyTimeMs_;
       }
       if (((from_bitField0_ & 0x00000020) != 0)) {
-        result.firstSentWallMs_ = firstSentWallMs_;
+        result.runState_ = runState_;
+      }
+      if (((from_bitField0_ & 0x00000040) != 0)) {
+        result.timeoutMs_ = timeoutMs_;
       }
     }
 
@@ -506,27 +748,34 @@
 
     public Builder mergeFrom(org.limpetring.peer.proto.ClaimRequest other) {
       if (other == org.limpetring.peer.proto.ClaimRequest.getDefaultInstance()) return this;
-      if (other.getShard() != 0) {
-        setShard(other.getShard());
+      if (other.kind_ != 0) {
+        setKindValue(other.getKindValue());
       }
-      if (!other.getKey().isEmpty()) {
-        key_ = other.key_;
+      if (!other.getClaim().isEmpty()) {
+        claim_ = other.claim_;
         bitField0_ |= 0x00000002;
         onChanged();
       }
-      if (!other.getRequestFingerprint().isEmpty()) {
-        setRequestFingerprint(other.getRequestFingerprint());
+      if (!other.getRequestDigest().isEmpty()) {
+        requestDigest_ = other.requestDigest_;
+        bitField0_ |= 0x00000004;
+        onChanged();
       }
       if (!other.getAttempt().isEmpty()) {
         attempt_ = other.attempt_;
         bitField0_ |= 0x00000008;
         onChanged();
       }
-      if (other.getRosterEpoch() != 0L) {
-        setRosterEpoch(other.getRosterEpoch());
+      if (other.getKeyTimeMs() != 0L) {
+        setKeyTimeMs(other.getKeyTimeMs());
       }
-      if (other.getFirstSentWallMs() != 0L) {
-        setFirstSentWallMs(other.getFirstSentWallMs());
+      if (!other.getRunState().isEmpty()) {
+        runState_ = other.runState_;
+        bitField0_ |= 0x00000020;
+        onChanged();
+      }
+      if (other.getTimeoutMs() != 0L) {
+        setTimeoutMs(other.getTimeoutMs());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -553,17 +802,17 @@
               done = true;
               break;
             case 8: {
-              shard_ = input.readUInt32();
+              kind_ = input.readEnum();
               bitField0_ |= 0x00000001;
               break;
             } // case 8
             case 18: {
-              key_ = input.readStringRequireUtf8();
+              claim_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000002;
               break;
             } // case 18
             case 26: {
-              requestFingerprint_ = input.readBytes();
+              requestDigest_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000004;
               break;
             } // case 26
@@ -573,15 +822,20 @@
               break;
             } // case 34
             case 40: {
-              rosterEpoch_ = input.readUInt64();
+              keyTimeMs_ = input.readUInt64();
               bitField0_ |= 0x00000010;
               break;
             } // case 40
-            case 48: {
-              firstSentWallMs_ = input.readUInt64();
+            case 50: {
+              runState_ = input.readStringRequireUtf8();
               bitField0_ |= 0x00000020;
               break;
-            } // case 48
+            } // case 50
+            case 56: {
+              timeoutMs_ = input.readUInt64();
+              bitField0_ |= 0x00000040;
+              break;
+            } // case 56
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -599,138 +853,238 @@
     }
     private int bitField0_;
 
-    private int shard_ ;
+    private int kind_ = 0;
+    /**
+     * <code>.limpetring.peer.ClaimRequest.Kind kind = 1;</code>
+     * @return The enum numeric value on the wire for kind.
+     */
+    @java.lang.Override public int getKindValue() {
+      return kind_;
+    }
+    /**
+     * <code>.limpetring.peer.ClaimRequest.Kind kind = 1;</code>
+     * @param value The enum numeric value on the wire for kind to set.
+     * @return This builder for chaining.
+     */
+    public Builder setKindValue(int value) {
+      kind_ = value;
+      bitField0_ |= 0x00000001;
+      onChanged();
+      return this;
+    }
     /**
-     * <code>uint32 shard = 1;</code>
-     * @return The shard.
+     * <code>.limpetring.peer.ClaimRequest.Kind kind = 1;</code>
+     * @return The kind.
      */
     @java.lang.Override
-    public int getShard() {
-      return shard_;
+    public org.limpetring.peer.proto.ClaimRequest.Kind getKind() {
+      org.limpetring.peer.proto.ClaimRequest.Kind result = org.limpetring.peer.proto.ClaimRequest.Kind.forNumber(kind_);
+      return result == null ? org.limpetring.peer.proto.ClaimRequest.Kind.UNRECOGNIZED : result;
     }
     /**
-     * <code>uint32 shard = 1;</code>
-     * @param value The shard to set.
+     * <code>.limpetring.peer.ClaimRequest.Kind kind = 1;</code>
+     * @param value The kind to set.
+     * @throws IllegalArgumentException if UNRECOGNIZED is provided.
      * @return This builder for chaining.
      */
-    public Builder setShard(int value) {
-
-      shard_ = value;
+    public Builder setKind(org.limpetring.peer.proto.ClaimRequest.Kind value) {
+      java.util.Objects.requireNonNull(value);
       bitField0_ |= 0x00000001;
+      kind_ = value.getNumber();
       onChanged();
       return this;
     }
     /**
-     * <code>uint32 shard = 1;</code>
+     * <code>.limpetring.peer.ClaimRequest.Kind kind = 1;</code>
      * @return This builder for chaining.
      */
-    public Builder clearShard() {
+    public Builder clearKind() {
       bitField0_ = (bitField0_ & ~0x00000001);
-      shard_ = 0;
+      kind_ = 0;
       onChanged();
       return this;
     }
 
-    private java.lang.Object key_ = "";
+    private java.lang.Object claim_ = "";
     /**
-     * <code>string key = 2;</code>
-     * @return The key.
+     * <pre>
+     * Digest of caller and key.
+     * </pre>
+     *
+     * <code>string claim = 2;</code>
+     * @return The claim.
      */
-    public java.lang.String getKey() {
-      java.lang.Object ref = key_;
+    public java.lang.String getClaim() {
+      java.lang.Object ref = claim_;
       if (!(ref instanceof java.lang.String)) {
         com.google.protobuf.ByteString bs =
             (com.google.protobuf.ByteString) ref;
         java.lang.String s = bs.toStringUtf8();
-        key_ = s;
+        claim_ = s;
         return s;
       } else {
         return (java.lang.String) ref;
       }
     }
     /**
-     * <code>string key = 2;</code>
-     * @return The bytes for key.
+     * <pre>
+     * Digest of caller and key.
+     * </pre>
+     *
+     * <code>string claim = 2;</code>
+     * @return The bytes for claim.
      */
     public com.google.protobuf.ByteString
-        getKeyBytes() {
-      java.lang.Object ref = key_;
+        getClaimBytes() {
+      java.lang.Object ref = claim_;
       if (ref instanceof String) {
         com.google.protobuf.ByteString b = 
             com.google.protobuf.ByteString.copyFromUtf8(
                 (java.lang.String) ref);
-        key_ = b;
+        claim_ = b;
         return b;
       } else {
         return (com.google.protobuf.ByteString) ref;
       }
     }
     /**
-     * <code>string key = 2;</code>
-     * @param value The key to set.
+     * <pre>
+     * Digest of caller and key.
+     * </pre>
+     *
+     * <code>string claim = 2;</code>
+     * @param value The claim to set.
      * @return This builder for chaining.
      */
-    public Builder setKey(
+    public Builder setClaim(
         java.lang.String value) {
       java.util.Objects.requireNonNull(value);
-      key_ = value;
+      claim_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
-     * <code>string key = 2;</code>
+     * <pre>
+     * Digest of caller and key.
+     * </pre>
+     *
+     * <code>string claim = 2;</code>
      * @return This builder for chaining.
      */
-    public Builder clearKey() {
-      key_ = getDefaultInstance().getKey();
+    public Builder clearClaim() {
+      claim_ = getDefaultInstance().getClaim();
       bitField0_ = (bitField0_ & ~0x00000002);
       onChanged();
       return this;
     }
     /**
-     * <code>string key = 2;</code>
-     * @param value The bytes for key to set.
+     * <pre>
+     * Digest of caller and key.
+     * </pre>
+     *
+     * <code>string claim = 2;</code>
+     * @param value The bytes for claim to set.
      * @return This builder for chaining.
      */
-    public Builder setKeyBytes(
+    public Builder setClaimBytes(
         com.google.protobuf.ByteString value) {
       java.util.Objects.requireNonNull(value);
       checkByteStringIsUtf8(value);
-      key_ = value;
+      claim_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
 
-    private com.google.protobuf.ByteString requestFingerprint_ = com.google.protobuf.ByteString.EMPTY;
+    private java.lang.Object requestDigest_ = "";
     /**
-     * <code>bytes request_fingerprint = 3;</code>
-     * @return The requestFingerprint.
+     * <pre>
+     * Digest of the request's content.
+     * </pre>
+     *
+     * <code>string request_digest = 3;</code>
+     * @return The requestDigest.
      */
-    @java.lang.Override
-    public com.google.protobuf.ByteString getRequestFingerprint() {
-      return requestFingerprint_;
+    public java.lang.String getRequestDigest() {
+      java.lang.Object ref = requestDigest_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        requestDigest_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Digest of the request's content.
+     * </pre>
+     *
+     * <code>string request_digest = 3;</code>
+     * @return The bytes for requestDigest.
+     */
+    public com.google.protobuf.ByteString
+        getRequestDigestBytes() {
+      java.lang.Object ref = requestDigest_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        requestDigest_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
     }
     /**
-     * <code>bytes request_fingerprint = 3;</code>
-     * @param value The requestFingerprint to set.
+     * <pre>
+     * Digest of the request's content.
+     * </pre>
+     *
+     * <code>string request_digest = 3;</code>
+     * @param value The requestDigest to set.
      * @return This builder for chaining.
      */
-    public Builder setRequestFingerprint(com.google.protobuf.ByteString value) {
+    public Builder setRequestDigest(
+        java.lang.String value) {
       java.util.Objects.requireNonNull(value);
-      requestFingerprint_ = value;
+      requestDigest_ = value;
       bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
     /**
-     * <code>bytes request_fingerprint = 3;</code>
+     * <pre>
+     * Digest of the request's content.
+     * </pre>
+     *
+     * <code>string request_digest = 3;</code>
      * @return This builder for chaining.
      */
-    public Builder clearRequestFingerprint() {
+    public Builder clearRequestDigest() {
+      requestDigest_ = getDefaultInstance().getRequestDigest();
       bitField0_ = (bitField0_ & ~0x00000004);
-      requestFingerprint_ = getDefaultInstance().getRequestFingerprint();
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Digest of the request's content.
+     * </pre>
+     *
+     * <code>string request_digest = 3;</code>
+     * @param value The bytes for requestDigest to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRequestDigestBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      requestDigest_ = value;
+      bitField0_ |= 0x00000004;
       onChanged();
       return this;
     }
@@ -807,78 +1161,182 @@
       return this;
     }
 
-    private long rosterEpoch_ ;
+    private long keyTimeMs_ ;
     /**
-     * <code>uint64 roster_epoch = 5;</code>
-     * @return The rosterEpoch.
+     * <pre>
+     * Creation time of the key, in milliseconds since the Unix epoch.
+     * </pre>
+     *
+     * <code>uint64 key_time_ms = 5;</code>
+     * @return The keyTimeMs.
      */
     @java.lang.Override
-    public long getRosterEpoch() {
-      return rosterEpoch_;
+    public long getKeyTimeMs() {
+      return keyTimeMs_;
     }
     /**
-     * <code>uint64 roster_epoch = 5;</code>
-     * @param value The rosterEpoch to set.
+     * <pre>
+     * Creation time of the key, in milliseconds since the Unix epoch.
+     * </pre>
+     *
+     * <code>uint64 key_time_ms = 5;</code>
+     * @param value The keyTimeMs to set.
      * @return This builder for chaining.
      */
-    public Builder setRosterEpoch(long value) {
+    public Builder setKeyTimeMs(long value) {
 
-      rosterEpoch_ = value;
+      keyTimeMs_ = value;
       bitField0_ |= 0x00000010;
       onChanged();
       return this;
     }
     /**
-     * <code>uint64 roster_epoch = 5;</code>
+     * <pre>
+     * Creation time of the key, in milliseconds since the Unix epoch.
+     * </pre>
+     *
+     * <code>uint64 key_time_ms = 5;</code>
      * @return This builder for chaining.
      */
-    public Builder clearRosterEpoch() {
+    public Builder clearKeyTimeMs() {
       bitField0_ = (bitField0_ & ~0x00000010);
-      rosterEpoch_ = 0L;
+      keyTimeMs_ = 0L;
       onChanged();
       return this;
     }
 
-    private long firstSentWallMs_ ;
+    private java.lang.Object runState_ = "";
     /**
      * <pre>
-     * Time at which the caller first sent the key, in milliseconds since the Unix epoch; 0: unknown.
+     * Name of the run state that a settled claim ended with.
      * </pre>
      *
-     * <code>uint64 first_sent_wall_ms = 6;</code>
-     * @return The firstSentWallMs.
+     * <code>string run_state = 6;</code>
+     * @return The runState.
      */
-    @java.lang.Override
-    public long getFirstSentWallMs() {
-      return firstSentWallMs_;
+    public java.lang.String getRunState() {
+      java.lang.Object ref = runState_;
+      if (!(ref instanceof java.lang.String)) {
+        com.google.protobuf.ByteString bs =
+            (com.google.protobuf.ByteString) ref;
+        java.lang.String s = bs.toStringUtf8();
+        runState_ = s;
+        return s;
+      } else {
+        return (java.lang.String) ref;
+      }
     }
     /**
      * <pre>
-     * Time at which the caller first sent the key, in milliseconds since the Unix epoch; 0: unknown.
+     * Name of the run state that a settled claim ended with.
      * </pre>
      *
-     * <code>uint64 first_sent_wall_ms = 6;</code>
-     * @param value The firstSentWallMs to set.
+     * <code>string run_state = 6;</code>
+     * @return The bytes for runState.
+     */
+    public com.google.protobuf.ByteString
+        getRunStateBytes() {
+      java.lang.Object ref = runState_;
+      if (ref instanceof String) {
+        com.google.protobuf.ByteString b = 
+            com.google.protobuf.ByteString.copyFromUtf8(
+                (java.lang.String) ref);
+        runState_ = b;
+        return b;
+      } else {
+        return (com.google.protobuf.ByteString) ref;
+      }
+    }
+    /**
+     * <pre>
+     * Name of the run state that a settled claim ended with.
+     * </pre>
+     *
+     * <code>string run_state = 6;</code>
+     * @param value The runState to set.
      * @return This builder for chaining.
      */
-    public Builder setFirstSentWallMs(long value) {
-
-      firstSentWallMs_ = value;
+    public Builder setRunState(
+        java.lang.String value) {
+      java.util.Objects.requireNonNull(value);
+      runState_ = value;
       bitField0_ |= 0x00000020;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Time at which the caller first sent the key, in milliseconds since the Unix epoch; 0: unknown.
+     * Name of the run state that a settled claim ended with.
      * </pre>
      *
-     * <code>uint64 first_sent_wall_ms = 6;</code>
+     * <code>string run_state = 6;</code>
      * @return This builder for chaining.
      */
-    public Builder clearFirstSentWallMs() {
+    public Builder clearRunState() {
+      runState_ = getDefaultInstance().getRunState();
       bitField0_ = (bitField0_ & ~0x00000020);
-      firstSentWallMs_ = 0L;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Name of the run state that a settled claim ended with.
+     * </pre>
+     *
+     * <code>string run_state = 6;</code>
+     * @param value The bytes for runState to set.
+     * @return This builder for chaining.
+     */
+    public Builder setRunStateBytes(
+        com.google.protobuf.ByteString value) {
+      java.util.Objects.requireNonNull(value);
+      checkByteStringIsUtf8(value);
+      runState_ = value;
+      bitField0_ |= 0x00000020;
+      onChanged();
+      return this;
+    }
+
+    private long timeoutMs_ ;
+    /**
+     * <pre>
+     * Time after which the requester gives up.
+     * </pre>
+     *
+     * <code>uint64 timeout_ms = 7;</code>
+     * @return The timeoutMs.
+     */
+    @java.lang.Override
+    public long getTimeoutMs() {
+      return timeoutMs_;
+    }
+    /**
+     * <pre>
+     * Time after which the requester gives up.
+     * </pre>
+     *
+     * <code>uint64 timeout_ms = 7;</code>
+     * @param value The timeoutMs to set.
+     * @return This builder for chaining.
+     */
+    public Builder setTimeoutMs(long value) {
+
+      timeoutMs_ = value;
+      bitField0_ |= 0x00000040;
+      onChanged();
+      return this;
+    }
+    /**
+     * <pre>
+     * Time after which the requester gives up.
+     * </pre>
+     *
+     * <code>uint64 timeout_ms = 7;</code>
+     * @return This builder for chaining.
+     */
+    public Builder clearTimeoutMs() {
+      bitField0_ = (bitField0_ & ~0x00000040);
+      timeoutMs_ = 0L;
       onChanged();
       return this;
     }
--- a/limpet-peer/src/main/java/org/limpetring/peer/proto/ClaimRequestOrBuilder.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/proto/ClaimRequestOrBuilder.java
@@ -11,28 +11,55 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>uint32 shard = 1;</code>
-   * @return The shard.
+   * <code>.limpetring.peer.ClaimRequest.Kind kind = 1;</code>
+   * @return The enum numeric value on the wire for kind.
    */
-  int getShard();
+  int getKindValue();
+  /**
+   * <code>.limpetring.peer.ClaimRequest.Kind kind = 1;</code>
+   * @return The kind.
+   */
+  org.limpetring.peer.proto.ClaimRequest.Kind getKind();
 
   /**
-   * <code>string key = 2;</code>
-   * @return The key.
+   * <pre>
+   * Digest of caller and key.
+   * </pre>
+   *
+   * <code>string claim = 2;</code>
+   * @return The claim.
    */
-  java.lang.String getKey();
+  java.lang.String getClaim();
   /**
-   * <code>string key = 2;</code>
-   * @return The bytes for key.
+   * <pre>
+   * Digest of caller and key.
+   * </pre>
+   *
+   * <code>string claim = 2;</code>
+   * @return The bytes for claim.
    */
   com.google.protobuf.ByteString
-      getKeyBytes();
+      getClaimBytes();
 
   /**
-   * <code>bytes request_fingerprint = 3;</code>
-   * @return The requestFingerprint.
+   * <pre>
+   * Digest of the request's content.
+   * </pre>
+   *
+   * <code>string request_digest = 3;</code>
+   * @return The requestDigest.
+   */
+  java.lang.String getRequestDigest();
+  /**
+   * <pre>
+   * Digest of the request's content.
+   * </pre>
+   *
+   * <code>string request_digest = 3;</code>
+   * @return The bytes for requestDigest.
    */
-  com.google.protobuf.ByteString getRequestFingerprint();
+  com.google.protobuf.ByteString
+      getRequestDigestBytes();
 
   /**
    * <code>string attempt = 4;</code>
@@ -47,18 +74,42 @@
       getAttemptBytes();
 
   /**
-   * <code>uint64 roster_epoch = 5;</code>
-   * @return The rosterEpoch.
+   * <pre>
+   * Creation time of the key, in milliseconds since the Unix epoch.
+   * </pre>
+   *
+   * <code>uint64 key_time_ms = 5;</code>
+   * @return The keyTimeMs.
+   */
+  long getKeyTimeMs();
+
+  /**
+   * <pre>
+   * Name of the run state that a settled claim ended with.
+   * </pre>
+   *
+   * <code>string run_state = 6;</code>
+   * @return The runState.
+   */
+  java.lang.String getRunState();
+  /**
+   * <pre>
+   * Name of the run state that a settled claim ended with.
+   * </pre>
+   *
+   * <code>string run_state = 6;</code>
+   * @return The bytes for runState.
    */
-  long getRosterEpoch();
+  com.google.protobuf.ByteString
+      getRunStateBytes();
 
   /**
    * <pre>
-   * Time at which the caller first sent the key, in milliseconds since the Unix epoch; 0: unknown.
+   * Time after which the requester gives up.
    * </pre>
    *
-   * <code>uint64 first_sent_wall_ms = 6;</code>
-   * @return The firstSentWallMs.
+   * <code>uint64 timeout_ms = 7;</code>
+   * @return The timeoutMs.
    */
-  long getFirstSentWallMs();
+  long getTimeoutMs();
 }
--- a/limpet-peer/src/main/java/org/limpetring/peer/proto/ClaimResponse.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/proto/ClaimResponse.java
@@ -32,8 +32,6 @@
     super(builder);
   }
   private ClaimResponse() {
-    verdict_ = 0;
-    holderAttempt_ = "";
   }
 
   public static final com.google.protobuf.Descriptors.Descriptor
@@ -54,251 +52,30 @@
             org.limpetring.peer.proto.ClaimResponse.class, org.limpetring.peer.proto.ClaimResponse.Builder.class);
   }
 
+  public static final int GRANTED_FIELD_NUMBER = 1;
+  private boolean granted_ = false;
   /**
-   * Protobuf enum {@code limpetring.peer.ClaimResponse.Verdict}
-   */
-  public enum Verdict
-      implements com.google.protobuf.ProtocolMessageEnum {
-    /**
-     * <code>VERDICT_UNSPECIFIED = 0;</code>
-     */
-    VERDICT_UNSPECIFIED(0),
-    /**
-     * <code>GRANTED = 1;</code>
-     */
-    GRANTED(1),
-    /**
-     * <code>ALREADY_CLAIMED = 2;</code>
-     */
-    ALREADY_CLAIMED(2),
-    /**
-     * <code>FINGERPRINT_MISMATCH = 3;</code>
-     */
-    FINGERPRINT_MISMATCH(3),
-    /**
-     * <code>KEY_TOO_OLD = 4;</code>
-     */
-    KEY_TOO_OLD(4),
-    /**
-     * <code>NOT_OWNER = 5;</code>
-     */
-    NOT_OWNER(5),
-    /**
-     * <code>UNAVAILABLE = 6;</code>
-     */
-    UNAVAILABLE(6),
-    /**
-     * <code>UNKNOWN = 7;</code>
-     */
-    UNKNOWN(7),
-    UNRECOGNIZED(-1),
-    ;
-
-    static {
-      com.google.protobuf.RuntimeVersion.validateProtobufGencodeVersion(
-        com.google.protobuf.RuntimeVersion.RuntimeDomain.PUBLIC,
-        /* major= */ 4,
-        /* minor= */ 36,
-        /* patch= */ 2,
-        /* suffix= */ "",
-        "Verdict");
-    }
-    /**
-     * <code>VERDICT_UNSPECIFIED = 0;</code>
-     */
-    public static final int VERDICT_UNSPECIFIED_VALUE = 0;
-    /**
-     * <code>GRANTED = 1;</code>
-     */
-    public static final int GRANTED_VALUE = 1;
-    /**
-     * <code>ALREADY_CLAIMED = 2;</code>
-     */
-    public static final int ALREADY_CLAIMED_VALUE = 2;
-    /**
-     * <code>FINGERPRINT_MISMATCH = 3;</code>
-     */
-    public static final int FINGERPRINT_MISMATCH_VALUE = 3;
-    /**
-     * <code>KEY_TOO_OLD = 4;</code>
-     */
-    public static final int KEY_TOO_OLD_VALUE = 4;
-    /**
-     * <code>NOT_OWNER = 5;</code>
-     */
-    public static final int NOT_OWNER_VALUE = 5;
-    /**
-     * <code>UNAVAILABLE = 6;</code>
-     */
-    public static final int UNAVAILABLE_VALUE = 6;
-    /**
-     * <code>UNKNOWN = 7;</code>
-     */
-    public static final int UNKNOWN_VALUE = 7;
-
-
-    public final int getNumber() {
-      if (this == UNRECOGNIZED) {
-        throw new java.lang.IllegalArgumentException(
-            "Can't get the number of an unknown enum value.");
-      }
-      return value;
-    }
-
-    /**
-     * @param value The numeric wire value of the corresponding enum entry.
-     * @return The enum associated with the given numeric wire value.
-     * @deprecated Use {@link #forNumber(int)} instead.
-     */
-    @java.lang.Deprecated
-    public static Verdict valueOf(int value) {
-      return forNumber(value);
-    }
-
-    /**
-     * @param value The numeric wire value of the corresponding enum entry.
-     * @return The enum associated with the given numeric wire value.
-     */
-    public static Verdict forNumber(int value) {
-      switch (value) {
-        case 0: return VERDICT_UNSPECIFIED;
-        case 1: return GRANTED;
-        case 2: return ALREADY_CLAIMED;
-        case 3: return FINGERPRINT_MISMATCH;
-        case 4: return KEY_TOO_OLD;
-        case 5: return NOT_OWNER;
-        case 6: return UNAVAILABLE;
-        case 7: return UNKNOWN;
-        default: return null;
-      }
-    }
-
-    public static com.google.protobuf.Internal.EnumLiteMap<Verdict>
-        internalGetValueMap() {
-      return internalValueMap;
-    }
-    private static final com.google.protobuf.Internal.EnumLiteMap<
-        Verdict> internalValueMap =
-          new com.google.protobuf.Internal.EnumLiteMap<Verdict>() {
-            public Verdict findValueByNumber(int number) {
-              return Verdict.forNumber(number);
-            }
-          };
-
-    public final com.google.protobuf.Descriptors.EnumValueDescriptor
-        getValueDescriptor() {
-      if (this == UNRECOGNIZED) {
-        throw new java.lang.IllegalStateException(
-            "Can't get the descriptor of an unrecognized enum value.");
-      }
-      return getDescriptor().getValue(ordinal());
-    }
-    public final com.google.protobuf.Descriptors.EnumDescriptor
-        getDescriptorForType() {
-      return getDescriptor();
-    }
-    public static com.google.protobuf.Descriptors.EnumDescriptor
-        getDescriptor() {
-      return org.limpetring.peer.proto.ClaimResponse.getDescriptor().getEnumType(0);
-    }
-
-    private static final Verdict[] VALUES = values();
-
-    public static Verdict valueOf(
-        com.google.protobuf.Descriptors.EnumValueDescriptor desc) {
-      if (desc.getType() != getDescriptor()) {
-        throw new java.lang.IllegalArgumentException(
-          "EnumValueDescriptor is not for this type.");
-      }
-      if (desc.getIndex() == -1) {
-        return UNRECOGNIZED;
-      }
-      return VALUES[desc.getIndex()];
-    }
-
-    private final int value;
-
-    private Verdict(int value) {
-      this.value = value;
-    }
-
-    // @@protoc_insertion_point(enum_scope:limpetring.peer.ClaimResponse.Verdict)
-  }
-
-  public static final int VERDICT_FIELD_NUMBER = 1;
-  private int verdict_ = 0;
-  /**
-   * <code>.limpetring.peer.ClaimResponse.Verdict verdict = 1;</code>
-   * @return The enum numeric value on the wire for verdict.
-   */
-  @java.lang.Override public int getVerdictValue() {
-    return verdict_;
-  }
-  /**
-   * <code>.limpetring.peer.ClaimResponse.Verdict verdict = 1;</code>
-   * @return The verdict.
-   */
-  @java.lang.Override public org.limpetring.peer.proto.ClaimResponse.Verdict getVerdict() {
-    org.limpetring.peer.proto.ClaimResponse.Verdict result = org.limpetring.peer.proto.ClaimResponse.Verdict.forNumber(verdict_);
-    return result == null ? org.limpetring.peer.proto.ClaimResponse.Verdict.UNRECOGNIZED : result;
-  }
-
-  public static final int HOLDER_ATTEMPT_FIELD_NUMBER = 2;
-  @SuppressWarnings("serial")
-  private volatile java.lang.Object holderAttempt_ = "";
-  /**
-   * <pre>
-   * Attempt that holds the claim.
-   * </pre>
-   *
-   * <code>string holder_attempt = 2;</code>
-   * @return The holderAttempt.
+   * <code>bool granted = 1;</code>
+   * @return The granted.
    */
   @java.lang.Override
-  public java.lang.String getHolderAttempt() {
-    java.lang.Object ref = holderAttempt_;
-    if (ref instanceof java.lang.String) {
-      return (java.lang.String) ref;
-    } else {
-      com.google.protobuf.ByteString bs = 
-          (com.google.protobuf.ByteString) ref;
-      java.lang.String s = bs.toStringUtf8();
-      holderAttempt_ = s;
-      return s;
-    }
+  public boolean getGranted() {
+    return granted_;
   }
+
+  public static final int RESULT_CODE_FIELD_NUMBER = 2;
+  private int resultCode_ = 0;
   /**
    * <pre>
-   * Attempt that holds the claim.
+   * Number of the result code of a denied claim.
    * </pre>
    *
-   * <code>string holder_attempt = 2;</code>
-   * @return The bytes for holderAttempt.
-   */
-  @java.lang.Override
-  public com.google.protobuf.ByteString
-      getHolderAttemptBytes() {
-    java.lang.Object ref = holderAttempt_;
-    if (ref instanceof java.lang.String) {
-      com.google.protobuf.ByteString b = 
-          com.google.protobuf.ByteString.copyFromUtf8(
-              (java.lang.String) ref);
-      holderAttempt_ = b;
-      return b;
-    } else {
-      return (com.google.protobuf.ByteString) ref;
-    }
-  }
-
-  public static final int ROSTER_EPOCH_FIELD_NUMBER = 3;
-  private long rosterEpoch_ = 0L;
-  /**
-   * <code>uint64 roster_epoch = 3;</code>
-   * @return The rosterEpoch.
+   * <code>uint32 result_code = 2;</code>
+   * @return The resultCode.
    */
   @java.lang.Override
-  public long getRosterEpoch() {
-    return rosterEpoch_;
+  public int getResultCode() {
+    return resultCode_;
   }
 
   private byte memoizedIsInitialized = -1;
@@ -315,29 +92,23 @@
   @java.lang.Override
   public void writeTo(com.google.protobuf.CodedOutputStream output)
                       throws java.io.IOException {
-    if (verdict_ != org.limpetring.peer.proto.ClaimResponse.Verdict.VERDICT_UNSPECIFIED.getNumber()) {
-      output.writeEnum(1, verdict_);
+    if (granted_ != false) {
+      output.writeBool(1, granted_);
     }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderAttempt_)) {
-      com.google.protobuf.GeneratedMessage.writeString(output, 2, holderAttempt_);
-    }
-    if (rosterEpoch_ != 0L) {
-      output.writeUInt64(3, rosterEpoch_);
+    if (resultCode_ != 0) {
+      output.writeUInt32(2, resultCode_);
     }
     getUnknownFields().writeTo(output);
   }
   private int computeSerializedSize_0() {
     int size = 0;
-    if (verdict_ != org.limpetring.peer.proto.ClaimResponse.Verdict.VERDICT_UNSPECIFIED.getNumber()) {
+    if (granted_ != false) {
       size += com.google.protobuf.CodedOutputStream
-        .computeEnumSize(1, verdict_);
-    }
-    if (!com.google.protobuf.GeneratedMessage.isStringEmpty(holderAttempt_)) {
-      size += com.google.protobuf.GeneratedMessage.computeStringSize(2, holderAttempt_);
+        .computeBoolSize(1, granted_);
     }
-    if (rosterEpoch_ != 0L) {
+    if (resultCode_ != 0) {
       size += com.google.protobuf.CodedOutputStream
-        .computeUInt64Size(3, rosterEpoch_);
+        .computeUInt32Size(2, resultCode_);
     }
     return size;
   }
@@ -363,11 +134,10 @@
     }
     org.limpetring.peer.proto.ClaimResponse other = (org.limpetring.peer.proto.ClaimResponse) obj;
 
-    if (verdict_ != other.verdict_) return false;
-    if (!getHolderAttempt()
-        .equals(other.getHolderAttempt())) return false;
-    if (getRosterEpoch()
-        != other.getRosterEpoch()) return false;
+    if (getGranted()
+        != other.getGranted()) return false;
+    if (getResultCode()
+        != other.getResultCode()) return false;
     if (!getUnknownFields().equals(other.getUnknownFields())) return false;
     return true;
   }
@@ -379,13 +149,11 @@
     }
     int hash = 41;
     hash = (19 * hash) + getDescriptor().hashCode();
-    hash = (37 * hash) + VERDICT_FIELD_NUMBER;
-    hash = (53 * hash) + verdict_;
-    hash = (37 * hash) + HOLDER_ATTEMPT_FIELD_NUMBER;
-    hash = (53 * hash) + getHolderAttempt().hashCode();
-    hash = (37 * hash) + ROSTER_EPOCH_FIELD_NUMBER;
-    hash = (53 * hash) + com.google.protobuf.Internal.hashLong(
-        getRosterEpoch());
+    hash = (37 * hash) + GRANTED_FIELD_NUMBER;
+    hash = (53 * hash) + com.google.protobuf.Internal.hashBoolean(
+        getGranted());
+    hash = (37 * hash) + RESULT_CODE_FIELD_NUMBER;
+    hash = (53 * hash) + getResultCode();
     hash = (29 * hash) + getUnknownFields().hashCode();
     memoizedHashCode = hash;
     return hash;
@@ -521,9 +289,8 @@
     public Builder clear() {
       super.clear();
       bitField0_ = 0;
-      verdict_ = 0;
-      holderAttempt_ = "";
-      rosterEpoch_ = 0L;
+      granted_ = false;
+      resultCode_ = 0;
       return this;
     }
 
@@ -558,13 +325,10 @@
     private void buildPartial0(org.limpetring.peer.proto.ClaimResponse result) {
       int from_bitField0_ = bitField0_;
       if (((from_bitField0_ & 0x00000001) != 0)) {
-        result.verdict_ = verdict_;
+        result.granted_ = granted_;
       }
       if (((from_bitField0_ & 0x00000002) != 0)) {
-        result.holderAttempt_ = holderAttempt_;
-      }
-      if (((from_bitField0_ & 0x00000004) != 0)) {
-        result.rosterEpoch_ = rosterEpoch_;
+        result.resultCode_ = resultCode_;
       }
     }
 
@@ -580,16 +344,11 @@
 
     public Builder mergeFrom(org.limpetring.peer.proto.ClaimResponse other) {
       if (other == org.limpetring.peer.proto.ClaimResponse.getDefaultInstance()) return this;
-      if (other.verdict_ != 0) {
-        setVerdictValue(other.getVerdictValue());
-      }
-      if (!other.getHolderAttempt().isEmpty()) {
-        holderAttempt_ = other.holderAttempt_;
-        bitField0_ |= 0x00000002;
-        onChanged();
+      if (other.getGranted() != false) {
+        setGranted(other.getGranted());
       }
-      if (other.getRosterEpoch() != 0L) {
-        setRosterEpoch(other.getRosterEpoch());
+      if (other.getResultCode() != 0) {
+        setResultCode(other.getResultCode());
       }
       this.mergeUnknownFields(other.getUnknownFields());
       onChanged();
@@ -616,20 +375,15 @@
               done = true;
               break;
             case 8: {
-              verdict_ = input.readEnum();
+              granted_ = input.readBool();
               bitField0_ |= 0x00000001;
               break;
             } // case 8
-            case 18: {
-              holderAttempt_ = input.readStringRequireUtf8();
+            case 16: {
+              resultCode_ = input.readUInt32();
               bitField0_ |= 0x00000002;
               break;
-            } // case 18
-            case 24: {
-              rosterEpoch_ = input.readUInt64();
-              bitField0_ |= 0x00000004;
-              break;
-            } // case 24
+            } // case 16
             default: {
               if (!super.parseUnknownField(input, extensionRegistry, tag)) {
                 done = true; // was an endgroup tag
@@ -647,178 +401,78 @@
     }
     private int bitField0_;
 
-    private int verdict_ = 0;
-    /**
-     * <code>.limpetring.peer.ClaimResponse.Verdict verdict = 1;</code>
-     * @return The enum numeric value on the wire for verdict.
-     */
-    @java.lang.Override public int getVerdictValue() {
-      return verdict_;
-    }
-    /**
-     * <code>.limpetring.peer.ClaimResponse.Verdict verdict = 1;</code>
-     * @param value The enum numeric value on the wire for verdict to set.
-     * @return This builder for chaining.
-     */
-    public Builder setVerdictValue(int value) {
-      verdict_ = value;
-      bitField0_ |= 0x00000001;
-      onChanged();
-      return this;
-    }
+    private boolean granted_ ;
     /**
-     * <code>.limpetring.peer.ClaimResponse.Verdict verdict = 1;</code>
-     * @return The verdict.
+     * <code>bool granted = 1;</code>
+     * @return The granted.
      */
     @java.lang.Override
-    public org.limpetring.peer.proto.ClaimResponse.Verdict getVerdict() {
-      org.limpetring.peer.proto.ClaimResponse.Verdict result = org.limpetring.peer.proto.ClaimResponse.Verdict.forNumber(verdict_);
-      return result == null ? org.limpetring.peer.proto.ClaimResponse.Verdict.UNRECOGNIZED : result;
+    public boolean getGranted() {
+      return granted_;
     }
     /**
-     * <code>.limpetring.peer.ClaimResponse.Verdict verdict = 1;</code>
-     * @param value The verdict to set.
-     * @throws IllegalArgumentException if UNRECOGNIZED is provided.
+     * <code>bool granted = 1;</code>
+     * @param value The granted to set.
      * @return This builder for chaining.
      */
-    public Builder setVerdict(org.limpetring.peer.proto.ClaimResponse.Verdict value) {
-      java.util.Objects.requireNonNull(value);
+    public Builder setGranted(boolean value) {
+
+      granted_ = value;
       bitField0_ |= 0x00000001;
-      verdict_ = value.getNumber();
       onChanged();
       return this;
     }
     /**
-     * <code>.limpetring.peer.ClaimResponse.Verdict verdict = 1;</code>
+     * <code>bool granted = 1;</code>
      * @return This builder for chaining.
      */
-    public Builder clearVerdict() {
+    public Builder clearGranted() {
       bitField0_ = (bitField0_ & ~0x00000001);
-      verdict_ = 0;
+      granted_ = false;
       onChanged();
       return this;
     }
 
-    private java.lang.Object holderAttempt_ = "";
+    private int resultCode_ ;
     /**
      * <pre>
-     * Attempt that holds the claim.
+     * Number of the result code of a denied claim.
      * </pre>
      *
-     * <code>string holder_attempt = 2;</code>
-     * @return The holderAttempt.
+     * <code>uint32 result_code = 2;</code>
+     * @return The resultCode.
      */
-    public java.lang.String getHolderAttempt() {
-      java.lang.Object ref = holderAttempt_;
-      if (!(ref instanceof java.lang.String)) {
-        com.google.protobuf.ByteString bs =
-            (com.google.protobuf.ByteString) ref;
-        java.lang.String s = bs.toStringUtf8();
-        holderAttempt_ = s;
-        return s;
-      } else {
-        return (java.lang.String) ref;
-      }
-    }
-    /**
-     * <pre>
-     * Attempt that holds the claim.
-     * </pre>
-     *
-     * <code>string holder_attempt = 2;</code>
-     * @return The bytes for holderAttempt.
-     */
-    public com.google.protobuf.ByteString
-        getHolderAttemptBytes() {
-      java.lang.Object ref = holderAttempt_;
-      if (ref instanceof String) {
-        com.google.protobuf.ByteString b = 
-            com.google.protobuf.ByteString.copyFromUtf8(
-                (java.lang.String) ref);
-        holderAttempt_ = b;
-        return b;
-      } else {
-        return (com.google.protobuf.ByteString) ref;
-      }
+    @java.lang.Override
+    public int getResultCode() {
+      return resultCode_;
     }
     /**
      * <pre>
-     * Attempt that holds the claim.
+     * Number of the result code of a denied claim.
      * </pre>
      *
-     * <code>string holder_attempt = 2;</code>
-     * @param value The holderAttempt to set.
+     * <code>uint32 result_code = 2;</code>
+     * @param value The resultCode to set.
      * @return This builder for chaining.
      */
-    public Builder setHolderAttempt(
-        java.lang.String value) {
-      java.util.Objects.requireNonNull(value);
-      holderAttempt_ = value;
+    public Builder setResultCode(int value) {
+
+      resultCode_ = value;
       bitField0_ |= 0x00000002;
       onChanged();
       return this;
     }
     /**
      * <pre>
-     * Attempt that holds the claim.
+     * Number of the result code of a denied claim.
      * </pre>
      *
-     * <code>string holder_attempt = 2;</code>
+     * <code>uint32 result_code = 2;</code>
      * @return This builder for chaining.
      */
-    public Builder clearHolderAttempt() {
-      holderAttempt_ = getDefaultInstance().getHolderAttempt();
+    public Builder clearResultCode() {
       bitField0_ = (bitField0_ & ~0x00000002);
-      onChanged();
-      return this;
-    }
-    /**
-     * <pre>
-     * Attempt that holds the claim.
-     * </pre>
-     *
-     * <code>string holder_attempt = 2;</code>
-     * @param value The bytes for holderAttempt to set.
-     * @return This builder for chaining.
-     */
-    public Builder setHolderAttemptBytes(
-        com.google.protobuf.ByteString value) {
-      java.util.Objects.requireNonNull(value);
-      checkByteStringIsUtf8(value);
-      holderAttempt_ = value;
-      bitField0_ |= 0x00000002;
-      onChanged();
-      return this;
-    }
-
-    private long rosterEpoch_ ;
-    /**
-     * <code>uint64 roster_epoch = 3;</code>
-     * @return The rosterEpoch.
-     */
-    @java.lang.Override
-    public long getRosterEpoch() {
-      return rosterEpoch_;
-    }
-    /**
-     * <code>uint64 roster_epoch = 3;</code>
-     * @param value The rosterEpoch to set.
-     * @return This builder for chaining.
-     */
-    public Builder setRosterEpoch(long value) {
-
-      rosterEpoch_ = value;
-      bitField0_ |= 0x00000004;
-      onChanged();
-      return this;
-    }
-    /**
-     * <code>uint64 roster_epoch = 3;</code>
-     * @return This builder for chaining.
-     */
-    public Builder clearRosterEpoch() {
-      bitField0_ = (bitField0_ & ~0x00000004);
-      rosterEpoch_ = 0L;
+      resultCode_ = 0;
       onChanged();
       return this;
     }
--- a/limpet-peer/src/main/java/org/limpetring/peer/proto/ClaimResponseOrBuilder.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/proto/ClaimResponseOrBuilder.java
@@ -11,39 +11,18 @@
     com.google.protobuf.MessageOrBuilder {
 
   /**
-   * <code>.limpetring.peer.ClaimResponse.Verdict verdict = 1;</code>
-   * @return The enum numeric value on the wire for verdict.
+   * <code>bool granted = 1;</code>
+   * @return The granted.
    */
-  int getVerdictValue();
-  /**
-   * <code>.limpetring.peer.ClaimResponse.Verdict verdict = 1;</code>
-   * @return The verdict.
-   */
-  org.limpetring.peer.proto.ClaimResponse.Verdict getVerdict();
+  boolean getGranted();
 
   /**
    * <pre>
-   * Attempt that holds the claim.
-   * </pre>
-   *
-   * <code>string holder_attempt = 2;</code>
-   * @return The holderAttempt.
-   */
-  java.lang.String getHolderAttempt();
-  /**
-   * <pre>
-   * Attempt that holds the claim.
+   * Number of the result code of a denied claim.
    * </pre>
    *
-   * <code>string holder_attempt = 2;</code>
-   * @return The bytes for holderAttempt.
-   */
-  com.google.protobuf.ByteString
-      getHolderAttemptBytes();
-
-  /**
-   * <code>uint64 roster_epoch = 3;</code>
-   * @return The rosterEpoch.
+   * <code>uint32 result_code = 2;</code>
+   * @return The resultCode.
    */
-  long getRosterEpoch();
+  int getResultCode();
 }
--- a/limpet-peer/src/main/java/org/limpetring/peer/proto/Peer.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/proto/Peer.java
@@ -190,41 +190,37 @@
       "sh\022\r\n\005topic\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\017\n\007pa" +
       "yload\030\003 \001(\014\022\016\n\006age_ms\030\004 \001(\004\";\n\tStatePull" +
       "\022\r\n\005topic\030\001 \001(\t\022\017\n\007version\030\002 \001(\004\022\016\n\006topi" +
-      "cs\030\003 \003(\t\"\032\n\tRosterAck\022\r\n\005epoch\030\001 \001(\004\"\212\001\n" +
-      "\014ClaimRequest\022\r\n\005shard\030\001 \001(\r\022\013\n\003key\030\002 \001(" +
-      "\t\022\033\n\023request_fingerprint\030\003 \001(\014\022\017\n\007attemp" +
-      "t\030\004 \001(\t\022\024\n\014roster_epoch\030\005 \001(\004\022\032\n\022first_s" +
-      "ent_wall_ms\030\006 \001(\004\"\225\002\n\rClaimResponse\0227\n\007v" +
-      "erdict\030\001 \001(\0162&.limpetring.peer.ClaimResp" +
-      "onse.Verdict\022\026\n\016holder_attempt\030\002 \001(\t\022\024\n\014" +
-      "roster_epoch\030\003 \001(\004\"\234\001\n\007Verdict\022\027\n\023VERDIC" +
-      "T_UNSPECIFIED\020\000\022\013\n\007GRANTED\020\001\022\023\n\017ALREADY_" +
-      "CLAIMED\020\002\022\030\n\024FINGERPRINT_MISMATCH\020\003\022\017\n\013K" +
-      "EY_TOO_OLD\020\004\022\r\n\tNOT_OWNER\020\005\022\017\n\013UNAVAILAB" +
-      "LE\020\006\022\013\n\007UNKNOWN\020\007\"h\n\021ColdPermitRequest\022\r" +
-      "\n\005group\030\001 \001(\t\022\r\n\005epoch\030\002 \001(\004\022\r\n\005count\030\003 " +
-      "\001(\r\022\020\n\010returned\030\004 \001(\r\022\024\n\014roster_epoch\030\005 " +
-      "\001(\004\"M\n\022ColdPermitResponse\022\017\n\007granted\030\001 \001" +
-      "(\r\022\020\n\010valid_ms\030\002 \001(\004\022\024\n\014roster_epoch\030\003 \001" +
-      "(\004\"\200\002\n\024PlatformRelayRequest\0228\n\004kind\030\001 \001(" +
-      "\0162*.limpetring.peer.PlatformRelayRequest" +
-      ".Kind\022\013\n\003key\030\002 \001(\t\022\r\n\005value\030\003 \001(\t\022\030\n\020exp" +
-      "ected_version\030\004 \001(\004\022\026\n\016after_revision\030\005 " +
-      "\001(\004\022\017\n\007wait_ms\030\006 \001(\004\"O\n\004Kind\022\024\n\020KIND_UNS" +
-      "PECIFIED\020\000\022\007\n\003GET\020\001\022\010\n\004LIST\020\002\022\007\n\003PUT\020\003\022\n" +
-      "\n\006DELETE\020\004\022\t\n\005WATCH\020\005\"\326\002\n\025PlatformRelayR" +
-      "esponse\022=\n\006result\030\001 \001(\0162-.limpetring.pee" +
-      "r.PlatformRelayResponse.Result\022/\n\007object" +
-      "s\030\002 \003(\0132\036.limpetring.peer.RelayedObject\022" +
-      "\017\n\007version\030\003 \001(\004\022\020\n\010revision\030\004 \001(\004\022\016\n\006re" +
-      "ason\030\005 \001(\t\"\231\001\n\006Result\022\026\n\022RESULT_UNSPECIF" +
-      "IED\020\000\022\t\n\005FOUND\020\001\022\013\n\007MISSING\020\002\022\n\n\006LISTED\020" +
-      "\003\022\013\n\007WRITTEN\020\004\022\014\n\010CONFLICT\020\005\022\013\n\007CHANGES\020" +
-      "\006\022\r\n\tCOMPACTED\020\007\022\017\n\013UNAVAILABLE\020\010\022\013\n\007UNK" +
-      "NOWN\020\t\"M\n\rRelayedObject\022\013\n\003key\030\001 \001(\t\022\r\n\005" +
-      "value\030\002 \001(\t\022\017\n\007version\030\003 \001(\004\022\017\n\007deleted\030" +
-      "\004 \001(\010B\035\n\031org.limpetring.peer.protoP\001b\006pr" +
-      "oto3"
+      "cs\030\003 \003(\t\"\032\n\tRosterAck\022\r\n\005epoch\030\001 \001(\004\"\351\001\n" +
+      "\014ClaimRequest\0220\n\004kind\030\001 \001(\0162\".limpetring" +
+      ".peer.ClaimRequest.Kind\022\r\n\005claim\030\002 \001(\t\022\026" +
+      "\n\016request_digest\030\003 \001(\t\022\017\n\007attempt\030\004 \001(\t\022" +
+      "\023\n\013key_time_ms\030\005 \001(\004\022\021\n\trun_state\030\006 \001(\t\022" +
+      "\022\n\ntimeout_ms\030\007 \001(\004\"3\n\004Kind\022\024\n\020KIND_UNSP" +
+      "ECIFIED\020\000\022\t\n\005CLAIM\020\001\022\n\n\006SETTLE\020\002\"5\n\rClai" +
+      "mResponse\022\017\n\007granted\030\001 \001(\010\022\023\n\013result_cod" +
+      "e\030\002 \001(\r\"h\n\021ColdPermitRequest\022\r\n\005group\030\001 " +
+      "\001(\t\022\r\n\005epoch\030\002 \001(\004\022\r\n\005count\030\003 \001(\r\022\020\n\010ret" +
+      "urned\030\004 \001(\r\022\024\n\014roster_epoch\030\005 \001(\004\"M\n\022Col" +
+      "dPermitResponse\022\017\n\007granted\030\001 \001(\r\022\020\n\010vali" +
+      "d_ms\030\002 \001(\004\022\024\n\014roster_epoch\030\003 \001(\004\"\200\002\n\024Pla" +
+      "tformRelayRequest\0228\n\004kind\030\001 \001(\0162*.limpet" +
+      "ring.peer.PlatformRelayRequest.Kind\022\013\n\003k" +
+      "ey\030\002 \001(\t\022\r\n\005value\030\003 \001(\t\022\030\n\020expected_vers" +
+      "ion\030\004 \001(\004\022\026\n\016after_revision\030\005 \001(\004\022\017\n\007wai" +
+      "t_ms\030\006 \001(\004\"O\n\004Kind\022\024\n\020KIND_UNSPECIFIED\020\000" +
+      "\022\007\n\003GET\020\001\022\010\n\004LIST\020\002\022\007\n\003PUT\020\003\022\n\n\006DELETE\020\004" +
+      "\022\t\n\005WATCH\020\005\"\326\002\n\025PlatformRelayResponse\022=\n" +
+      "\006result\030\001 \001(\0162-.limpetring.peer.Platform" +
+      "RelayResponse.Result\022/\n\007objects\030\002 \003(\0132\036." +
+      "limpetring.peer.RelayedObject\022\017\n\007version" +
+      "\030\003 \001(\004\022\020\n\010revision\030\004 \001(\004\022\016\n\006reason\030\005 \001(\t" +
+      "\"\231\001\n\006Result\022\026\n\022RESULT_UNSPECIFIED\020\000\022\t\n\005F" +
+      "OUND\020\001\022\013\n\007MISSING\020\002\022\n\n\006LISTED\020\003\022\013\n\007WRITT" +
+      "EN\020\004\022\014\n\010CONFLICT\020\005\022\013\n\007CHANGES\020\006\022\r\n\tCOMPA" +
+      "CTED\020\007\022\017\n\013UNAVAILABLE\020\010\022\013\n\007UNKNOWN\020\t\"M\n\r" +
+      "RelayedObject\022\013\n\003key\030\001 \001(\t\022\r\n\005value\030\002 \001(" +
+      "\t\022\017\n\007version\030\003 \001(\004\022\017\n\007deleted\030\004 \001(\010B\035\n\031o" +
+      "rg.limpetring.peer.protoP\001b\006proto3"
     };
     descriptor = com.google.protobuf.Descriptors.FileDescriptor
       .internalBuildGeneratedFileFrom(descriptorData,
@@ -313,13 +309,13 @@
     internal_static_limpetring_peer_ClaimRequest_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetring_peer_ClaimRequest_descriptor,
-        new java.lang.String[] { "Shard", "Key", "RequestFingerprint", "Attempt", "RosterEpoch", "FirstSentWallMs", });
+        new java.lang.String[] { "Kind", "Claim", "RequestDigest", "Attempt", "KeyTimeMs", "RunState", "TimeoutMs", });
     internal_static_limpetring_peer_ClaimResponse_descriptor =
       getDescriptor().getMessageType(14);
     internal_static_limpetring_peer_ClaimResponse_fieldAccessorTable = new
       com.google.protobuf.GeneratedMessage.FieldAccessorTable(
         internal_static_limpetring_peer_ClaimResponse_descriptor,
-        new java.lang.String[] { "Verdict", "HolderAttempt", "RosterEpoch", });
+        new java.lang.String[] { "Granted", "ResultCode", });
     internal_static_limpetring_peer_ColdPermitRequest_descriptor =
       getDescriptor().getMessageType(15);
     internal_static_limpetring_peer_ColdPermitRequest_fieldAccessorTable = new
--- a/limpet-peer/src/test/java/org/limpetring/peer/PeerMeasurement.java
+++ b/limpet-peer/src/test/java/org/limpetring/peer/PeerMeasurement.java
@@ -101,19 +101,14 @@
         Envelope.newBuilder()
             .setClaimRequest(
                 ClaimRequest.newBuilder()
-                    .setShard(12)
-                    .setKey("order-2f7c9a10-55de-4f7e-9c1e")
-                    .setRequestFingerprint(ByteString.copyFrom(new byte[16]))
-                    .setAttempt("entry-17.3f9a2c#99812")
-                    .setRosterEpoch(90_000)
-                    .setFirstSentWallMs(1_796_000_000_000L))
-            .build(),
-        Envelope.newBuilder()
-            .setClaimResponse(
-                ClaimResponse.newBuilder()
-                    .setVerdict(ClaimResponse.Verdict.GRANTED)
-                    .setRosterEpoch(90_000))
+                    .setKind(ClaimRequest.Kind.CLAIM)
+                    .setClaim("uvVAd8Xg1cKqfVKVsmZc2Q")
+                    .setRequestDigest("mZc2QuvVAd8")
+                    .setAttempt("3f9a2c99812d4f7e9c1e2f7c")
+                    .setKeyTimeMs(1_796_000_000_000L)
+                    .setTimeoutMs(1_000))
             .build(),
+        Envelope.newBuilder().setClaimResponse(ClaimResponse.newBuilder().setGranted(true)).build(),
         Envelope.newBuilder()
             .setColdPermitRequest(
                 ColdPermitRequest.newBuilder()
--- /dev/null
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/ClaimCodec.java
@@ -0,0 +1,70 @@
+package org.limpetring.daemon.wiring;
+
+import org.limpetring.base.ResultCode;
+import org.limpetring.peer.proto.ClaimRequest.Kind;
+import org.limpetring.peer.proto.ClaimResponse;
+import org.limpetring.peer.proto.Envelope;
+import org.limpetring.routing.claim.ClaimAnswer;
+import org.limpetring.routing.claim.ClaimId;
+import org.limpetring.routing.claim.ClaimRequest;
+import org.limpetring.routing.claim.ClaimSettlement;
+
+/** Claims as messages between daemons; a malformed one is an {@link IllegalArgumentException}. */
+final class ClaimCodec {
+
+  private ClaimCodec() {}
+
+  static Envelope claim(ClaimRequest request, long timeoutMs) {
+    return Envelope.newBuilder()
+        .setClaimRequest(
+            org.limpetring.peer.proto.ClaimRequest.newBuilder()
+                .setKind(Kind.CLAIM)
+                .setClaim(request.id().value())
+                .setRequestDigest(request.requestDigest())
+                .setAttempt(request.attempt())
+                .setKeyTimeMs(request.keyTimeMs())
+                .setTimeoutMs(timeoutMs))
+        .build();
+  }
+
+  static ClaimRequest request(org.limpetring.peer.proto.ClaimRequest message) {
+    return new ClaimRequest(
+        new ClaimId(message.getClaim()),
+        message.getKeyTimeMs(),
+        message.getAttempt(),
+        message.getRequestDigest());
+  }
+
+  static Envelope settle(ClaimSettlement settlement) {
+    return Envelope.newBuilder()
+        .setClaimRequest(
+            org.limpetring.peer.proto.ClaimRequest.newBuilder()
+                .setKind(Kind.SETTLE)
+                .setClaim(settlement.id().value())
+                .setAttempt(settlement.attempt())
+                .setRunState(settlement.runState().name()))
+        .build();
+  }
+
+  static Envelope answer(ClaimAnswer answer) {
+    ClaimResponse.Builder response = ClaimResponse.newBuilder();
+    if (answer instanceof ClaimAnswer.Denied denied) {
+      response.setResultCode(denied.code().number());
+    } else {
+      response.setGranted(true);
+    }
+    return Envelope.newBuilder().setClaimResponse(response).build();
+  }
+
+  static ClaimAnswer answer(ClaimResponse response) {
+    if (response.getGranted()) {
+      return new ClaimAnswer.Granted();
+    }
+    for (ResultCode code : ResultCode.values()) {
+      if (code.number() == response.getResultCode() && code != ResultCode.OK) {
+        return new ClaimAnswer.Denied(code);
+      }
+    }
+    return new ClaimAnswer.Denied(ResultCode.CLAIM_UNAVAILABLE);
+  }
+}
--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/PeerHub.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/PeerHub.java
@@ -18,14 +18,21 @@
   private final FleetNode node;
   private final PlatformRelay relay;
   private final Carriers carriers;
+  private final PeerClaims claims;
 
   /** Takes the parts that receive frames. */
   @Inject
-  public PeerHub(PeerTransport transport, FleetNode node, PlatformRelay relay, Carriers carriers) {
+  public PeerHub(
+      PeerTransport transport,
+      FleetNode node,
+      PlatformRelay relay,
+      Carriers carriers,
+      PeerClaims claims) {
     this.transport = transport;
     this.node = node;
     this.relay = relay;
     this.carriers = carriers;
+    this.claims = claims;
   }
 
   /** Starts to take frames and to follow the roster. */
@@ -41,6 +48,9 @@
           .setPlatformRelayResponse(relay.carry(envelope.getPlatformRelayRequest()))
           .build();
     }
+    if (envelope.hasClaimRequest()) {
+      return claims.serve(envelope.getClaimRequest());
+    }
     node.onFrame(envelope);
     return null;
   }
--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/RoutingModule.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/RoutingModule.java
@@ -38,7 +38,8 @@
     bind(GatedAdmission.class).in(Singleton.class);
     bind(Admission.class).to(GatedAdmission.class);
     bind(LocalClaims.class).in(Singleton.class);
-    bind(ClaimPort.class).to(LocalClaims.class);
+    bind(PeerClaims.class).in(Singleton.class);
+    bind(ClaimPort.class).to(PeerClaims.class);
     bind(Claims.class).to(ShardedClaims.class).in(Singleton.class);
     bind(Suspects.class).in(Singleton.class);
     bind(NoticePort.class).to(TopicSpread.class);
