Count retries by the result code of the failed try

Cause: operators need a counter for each retry reason. Change: RequestMachine counts limpet_retries_total by code when it seeks another group.

--- a/limpet-routing/src/main/java/org/limpetring/routing/request/RequestMachine.java
+++ b/limpet-routing/src/main/java/org/limpetring/routing/request/RequestMachine.java
@@ -7,6 +7,7 @@
 import org.jspecify.annotations.Nullable;
 import org.limpetring.base.GroupId;
 import org.limpetring.base.Invariant;
+import org.limpetring.base.Metrics;
 import org.limpetring.base.Outcome;
 import org.limpetring.base.ResultCode;
 import org.limpetring.base.RunState;
@@ -206,6 +207,7 @@
     if (!retryPermit.tryTake(nowMs)) {
       return finish(ResultCode.RETRY_BUDGET_SPENT);
     }
+    Metrics.RETRIES.labelValues(outcome.code().name()).inc();
     return admitElsewhere();
   }
 
