Confirmations of a stopped watch no longer reach the machine that follows

Cause: after an eviction a late confirmation of an old watch could reach the new machine before it had been told the roster (found by reading). Change: only the watch that runs now confirms. Result: FleetNodeTest passes; the race itself has no test.

--- a/limpet-fleet/src/main/java/org/limpetring/fleet/node/PlatformWatches.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/node/PlatformWatches.java
@@ -30,6 +30,7 @@
   private final long seed;
   private final Consumer<Event> sink;
   private final Map<String, ObjectWatcher> watchers = new HashMap<>();
+  private final Map<String, Listener> listeners = new HashMap<>();
   private final Map<String, Long> confirmedAtMs = new HashMap<>();
 
   /** What a watch brought, to be passed to the machine on its own thread. */
@@ -53,6 +54,7 @@
       ObjectWatcher watcher = watchers.get(prefix);
       if (watcher != null && !prefixes.contains(prefix)) {
         watchers.remove(prefix);
+        listeners.remove(prefix);
         confirmedAtMs.remove(prefix);
         // Closing waits for a running call, which the machine's thread must not.
         ForkJoinPool.commonPool().execute(watcher::close);
@@ -61,9 +63,10 @@
     for (String prefix : prefixes) {
       if (!watchers.containsKey(prefix)) {
         Backoff backoff = new Backoff(FIRST_BACKOFF_MS, MAX_BACKOFF_MS, seed);
+        Listener listener = new Listener(prefix);
         ObjectWatcher watcher =
-            new ObjectWatcher(
-                store, prefix, new Listener(prefix), clock, Pause.sleeping(), backoff, waitMs);
+            new ObjectWatcher(store, prefix, listener, clock, Pause.sleeping(), backoff, waitMs);
+        listeners.put(prefix, listener);
         watchers.put(prefix, watcher);
         watcher.start();
       }
@@ -122,7 +125,10 @@
       // A watch that came back early and empty may have seen the platform only at its start.
       sink.accept(
           (machine, nowMs) -> {
-            confirm(machine, prefix, atMs - waitMs);
+            // A watch that was stopped meanwhile speaks of what an earlier machine was told.
+            if (listeners.get(prefix) == this) {
+              confirm(machine, prefix, atMs - waitMs);
+            }
             return List.of();
           });
     }
