Swap back without a search per member

Cause: the planner searched the free hosts again for each member, quadratic in the domain's hosts. Change: one search per plan.

--- a/limpet-groups/src/main/java/org/limpetring/groups/plan/PoolFormation.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/PoolFormation.java
@@ -1,7 +1,9 @@
 package org.limpetring.groups.plan;
 
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Comparator;
+import java.util.Deque;
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
@@ -203,15 +205,17 @@
 
   /** Puts a free host that has the weights in the place of a member that still loads them. */
   private void swapBack(PlanDraft draft) {
+    Deque<HostId> holders = new ArrayDeque<>(freeHosts(draft));
+    holders.removeIf(host -> !hosts.holds(host, pool.model()));
     for (PlannedGroup group : servingGroups(draft)) {
       PlannedGroup current = group;
       for (HostId member : group.members()) {
-        List<HostId> free = freeHosts(draft);
-        if (free.isEmpty() || !hosts.holds(free.get(0), pool.model())) {
+        if (holders.isEmpty()) {
           return;
         }
         if (isLoading(member)) {
-          current = draft.replaceMember(current, member, free.get(0), "has the weights already");
+          HostId holder = holders.remove();
+          current = draft.replaceMember(current, member, holder, "has the weights already");
         }
       }
     }
