--- a/limpet-load/src/main/java/org/limpetring/load/ExperimentRun.java
+++ b/limpet-load/src/main/java/org/limpetring/load/ExperimentRun.java
@@ -82,7 +82,7 @@
   private void waitForGroups() throws IOException, InterruptedException {
     long endMs = Clock.system().nowMs() + experiment.waitMs();
     while (true) {
-      int groups = Sampler.sample(0, standin.states()).groups();
+      int groups = Sampler.sample(0, standin.states(), experiment.smallestGroup()).groups();
       if (groups >= experiment.waitGroups()) {
         return;
       }
@@ -133,7 +133,7 @@
     long nextProgressMs = 0;
     while (!finished) {
       try {
-        samples.add(Sampler.sample(sinceStartMs(), standin.states()));
+        samples.add(Sampler.sample(sinceStartMs(), standin.states(), experiment.smallestGroup()));
       } catch (IOException failure) {
         out.println("no sample: " + failure);
       }
--- a/limpet-load/src/main/java/org/limpetring/load/Sampler.java
+++ b/limpet-load/src/main/java/org/limpetring/load/Sampler.java
@@ -1,7 +1,9 @@
 package org.limpetring.load;
 
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
+import java.util.Map;
 import java.util.Set;
 import org.limpetring.load.report.Sample;
 import org.limpetring.standin.engine.EngineState;
@@ -11,22 +13,27 @@
 
   private Sampler() {}
 
-  static Sample sample(long atMs, List<EngineState> states) {
-    Set<String> groups = new HashSet<>();
+  static Sample sample(long atMs, List<EngineState> states, int smallestGroup) {
+    Map<String, Integer> readyMembers = new HashMap<>();
     Set<String> coldGroups = new HashSet<>();
-    int stranded = 0;
+    int healthy = 0;
     for (EngineState state : states) {
+      if (!state.alive() || state.paused() || state.draining()) {
+        continue;
+      }
+      healthy++;
       String group = state.report().group();
-      boolean healthy = state.alive() && !state.paused() && !state.draining();
-      if (healthy && group != null && state.report().ready()) {
-        groups.add(group);
+      if (group != null && state.report().ready()) {
+        readyMembers.merge(group, 1, Integer::sum);
         if (!state.report().warm()) {
           coldGroups.add(group);
         }
-      } else if (healthy) {
-        stranded++;
       }
     }
-    return new Sample(atMs, groups.size(), groups.size() - coldGroups.size(), stranded);
+    readyMembers.values().removeIf(members -> members < smallestGroup);
+    coldGroups.retainAll(readyMembers.keySet());
+    int serving = readyMembers.values().stream().mapToInt(Integer::intValue).sum();
+    int groups = readyMembers.size();
+    return new Sample(atMs, groups, groups - coldGroups.size(), healthy - serving);
   }
 }
--- a/limpet-load/src/main/java/org/limpetring/load/schedule/Experiment.java
+++ b/limpet-load/src/main/java/org/limpetring/load/schedule/Experiment.java
@@ -13,6 +13,7 @@
  * @param daemons base URLs that callers use, such as {@code http://127.0.0.11:8080}
  * @param standin base URL of the control socket of the stand-ins
  * @param platform base URL of the platform
+ * @param smallestGroup hosts of the smallest group that serves; fewer are a standby
  * @param waitGroups groups that must serve before the first phase
  * @param waitMs longest wait for them
  * @param settleMs longest wait for the last answers
@@ -29,6 +30,7 @@
     List<String> daemons,
     String standin,
     String platform,
+    int smallestGroup,
     int waitGroups,
     long waitMs,
     long settleMs,
--- a/limpet-load/src/test/java/org/limpetring/load/LoadAgainstStandinTest.java
+++ b/limpet-load/src/test/java/org/limpetring/load/LoadAgainstStandinTest.java
@@ -104,6 +104,7 @@
         url("127.0.6.9"),
         url("127.0.6.1"),
         1,
+        1,
         5_000,
         5_000,
         new Experiment.Limits(5_000, 2),
--- a/limpet-load/src/test/java/org/limpetring/load/ProcessFailureTest.java
+++ b/limpet-load/src/test/java/org/limpetring/load/ProcessFailureTest.java
@@ -26,6 +26,7 @@
 final class ProcessFailureTest {
 
   private static final int GROUPS = 4;
+  private static final int GROUP_SIZE = 2;
   private static final Kind PLAN =
       new Kind("plan", Form.STREAM, "/v1/chat/completions", "m", 16, 4, 20, 8_000);
   private static final Kind STOCK = new Kind("stock", Form.READ, "/stock/", "", 0, 0, 5, 3_000);
@@ -119,6 +120,7 @@
             cluster.daemonUrls(),
             cluster.controlUrl(),
             cluster.platformUrl(),
+            GROUP_SIZE,
             GROUPS,
             20_000,
             10_000,
--- a/limpet-load/src/test/java/org/limpetring/load/check/PromiseCheckerTest.java
+++ b/limpet-load/src/test/java/org/limpetring/load/check/PromiseCheckerTest.java
@@ -97,6 +97,7 @@
         List.of("http://127.0.0.1:1"),
         "",
         "",
+        1,
         0,
         0,
         0,
