Count each refusal once, at its end

Cause: gates counted refusals that the daemon counted again, and a cold gate counted one for each group that it could not give, also where the request went to a warm group.

--- a/limpet-routing/src/main/java/org/limpetring/routing/admit/AdmissionGate.java
+++ b/limpet-routing/src/main/java/org/limpetring/routing/admit/AdmissionGate.java
@@ -8,7 +8,6 @@
 import org.limpetring.base.CallerId;
 import org.limpetring.base.Clock;
 import org.limpetring.base.GroupId;
-import org.limpetring.base.Metrics;
 import org.limpetring.base.ResultCode;
 import org.limpetring.groups.ServingGroup;
 
@@ -105,9 +104,6 @@
       synchronized (this) {
         decision = waiting.remove(effect.ticket().number());
       }
-      if (effect instanceof AdmissionEffect.Refuse refuse) {
-        Metrics.REFUSALS.labelValues(refuse.code().name()).inc();
-      }
       boolean isHeard = decision != null && decision.complete(effect);
       if (!isHeard && effect instanceof AdmissionEffect.Admit admit) {
         release(admit.group());
--- a/limpet-routing/src/main/java/org/limpetring/routing/cold/ColdGate.java
+++ b/limpet-routing/src/main/java/org/limpetring/routing/cold/ColdGate.java
@@ -7,7 +7,6 @@
 import org.limpetring.base.DaemonId;
 import org.limpetring.base.GroupId;
 import org.limpetring.base.Invariant;
-import org.limpetring.base.Metrics;
 import org.limpetring.base.ResultCode;
 import org.limpetring.fleet.Roster;
 import org.limpetring.groups.ServingGroup;
@@ -133,7 +132,6 @@
   }
 
   private static ColdAnswer refuse(String reason) {
-    Metrics.REFUSALS.labelValues(ResultCode.COLD_LIMIT_REACHED.name()).inc();
     return new ColdAnswer.Refused(ResultCode.COLD_LIMIT_REACHED, reason);
   }
 
--- a/limpetd/src/main/java/org/limpetring/daemon/caller/RequestDriver.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/caller/RequestDriver.java
@@ -177,7 +177,6 @@
       answer.finish();
     } else {
       suspects.failed(request, pool, group, outcome.code());
-      Metrics.RETRIES.labelValues(outcome.code().name()).inc();
       LogEvent.REQUEST_RETRIED.log(LOGGER, request.id(), detail);
     }
     return new RequestEvent.TryEnded(outcome, answer.deliveredEvents());
