A caller that leaves costs no permit; a long body is not joined from two tries

An exception at the end of an answer left the permit and the claim of the request held for good. A plain body over 1 MiB that broke off after its first byte counted no delivered events, so a second try was appended to it. Change: permits are released on every way out, work whose caller left counts as run, chunks of a body count as delivered. Measured: both new tests failed before the change (2 of 14) and pass after.

--- a/limpetd/src/main/java/org/limpetring/daemon/caller/CallerAnswer.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/caller/CallerAnswer.java
@@ -54,7 +54,7 @@
     channel.header(REQUEST_HEADER, request.value());
   }
 
-  /** Events of the stream that the caller has, not counting the end marker. */
+  /** Events that the caller has, not counting the end marker; chunks of a plain body. */
   int deliveredEvents() {
     return deliveredEvents;
   }
@@ -180,6 +180,7 @@
     channel.write(bytes);
     held.reset();
     overflowed = true;
+    deliveredEvents++;
   }
 
   private void writeError(ResultCode code, String body) throws IOException {
--- a/limpetd/src/main/java/org/limpetring/daemon/caller/RequestDriver.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/caller/RequestDriver.java
@@ -80,12 +80,16 @@
   /** Runs the request to its end. */
   void run() throws IOException {
     Deque<RequestEffect> effects = new ArrayDeque<>(machine.start());
-    while (!effects.isEmpty()) {
-      RequestEvent event = perform(effects.removeFirst());
-      if (event != null) {
-        List<RequestEffect> next = machine.on(event, clock.nowMs());
-        effects.addAll(next);
+    try {
+      while (!effects.isEmpty()) {
+        RequestEvent event = perform(effects.removeFirst());
+        if (event != null) {
+          List<RequestEffect> next = machine.on(event, clock.nowMs());
+          effects.addAll(next);
+        }
       }
+    } finally {
+      release();
     }
   }
 
@@ -160,7 +164,7 @@
     lastTry = Admission.TryReport.NOT_SENT;
   }
 
-  private RequestEvent dispatch(RequestEffect.Dispatch dispatch) throws IOException {
+  private RequestEvent dispatch(RequestEffect.Dispatch dispatch) {
     ServingGroup group = dispatch.group();
     long nowMs = clock.nowMs();
     if (!state.isFresh(nowMs) || !state.serves(group, nowMs)) {
@@ -174,7 +178,7 @@
     detail = describe(outcome);
     if (outcome.code() == ResultCode.OK) {
       suspects.answered(request, pool);
-      answer.finish();
+      finishAnswer();
     } else {
       suspects.failed(request, pool, group, outcome.code());
       LogEvent.REQUEST_RETRIED.log(LOGGER, request.id(), detail);
@@ -182,6 +186,16 @@
     return new RequestEvent.TryEnded(outcome, answer.deliveredEvents());
   }
 
+  /** The work ran, whether or not its caller is still there to hear of it. */
+  private void finishAnswer() {
+    try {
+      answer.finish();
+    } catch (IOException gone) {
+      detail = "caller left before the end of the answer";
+      LogEvent.REQUEST_FAILED.log(LOGGER, request.id(), detail);
+    }
+  }
+
   private Outcome send(ServingGroup group, int resumeOffset, long nowMs, long endsAtMs) {
     long leftMs = endsAtMs - nowMs;
     EngineRequest sent =
--- a/limpetd/src/test/java/org/limpetring/daemon/caller/MemoryChannel.java
+++ b/limpetd/src/test/java/org/limpetring/daemon/caller/MemoryChannel.java
@@ -1,6 +1,7 @@
 package org.limpetring.daemon.caller;
 
 import java.io.ByteArrayOutputStream;
+import java.io.IOException;
 import java.nio.charset.StandardCharsets;
 
 /** Keeps what a caller would receive. */
@@ -8,6 +9,7 @@
 
   private final ByteArrayOutputStream bytes = new ByteArrayOutputStream();
   private int status;
+  private boolean broken;
 
   @Override
   public void header(String name, String value) {}
@@ -28,7 +30,16 @@
   }
 
   @Override
-  public void flush() {}
+  public void flush() throws IOException {
+    if (broken) {
+      throw new IOException("caller left");
+    }
+  }
+
+  /** Lets each flush fail from now on. */
+  void breakOnFlush() {
+    broken = true;
+  }
 
   int status() {
     return status;
--- a/limpetd/src/test/java/org/limpetring/daemon/caller/RequestDriverTest.java
+++ b/limpetd/src/test/java/org/limpetring/daemon/caller/RequestDriverTest.java
@@ -1,8 +1,10 @@
 package org.limpetring.daemon.caller;
 
 import static com.google.common.truth.Truth.assertThat;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.atomic.AtomicInteger;
@@ -47,6 +49,8 @@
 
   private final ManualClock clock = new ManualClock(1_000);
   private final AtomicInteger lookups = new AtomicInteger();
+  private final AtomicInteger released = new AtomicInteger();
+  private final List<RunState> settled = new ArrayList<>();
   private boolean fresh = true;
   private int goneLookups;
 
@@ -65,7 +69,7 @@
   }
 
   private static ScriptedEngine.Try end(int events, Outcome outcome) {
-    return new ScriptedEngine.Try(events, outcome);
+    return new ScriptedEngine.Try(events, 0, outcome);
   }
 
   @ParameterizedTest
@@ -105,11 +109,37 @@
     assertThat(channel.text()).isEqualTo(WHOLE_STREAM);
   }
 
+  @Test
+  void aLongBodyThatBreaksAfterItsFirstByteIsNeitherRepeatedNorEnded() {
+    ScriptedEngine engine =
+        new ScriptedEngine(List.of(new ScriptedEngine.Try(3, 600_000, LOST), end(1, WHOLE)));
+    MemoryChannel channel = new MemoryChannel();
+    assertThrows(IOException.class, () -> run(engine, true, false, channel));
+    assertThat(engine.resumeOffsets()).containsExactly(0);
+    assertThat(released.get()).isEqualTo(1);
+  }
+
+  @Test
+  void aCallerThatLeavesAtTheEndCostsNeitherPermitNorClaim() throws IOException {
+    MemoryChannel channel = new MemoryChannel();
+    channel.breakOnFlush();
+    run(new ScriptedEngine(List.of(end(1, WHOLE))), false, false, channel);
+    assertThat(released.get()).isEqualTo(1);
+    assertThat(settled).containsExactly(RunState.RAN);
+  }
+
   private MemoryChannel run(ScriptedEngine engine, boolean idempotent) throws IOException {
     MemoryChannel channel = new MemoryChannel();
-    CallerRequest request = request();
-    CallerAnswer answer = new CallerAnswer(channel, request.id(), true);
-    RequestTraits traits = new RequestTraits(idempotent, idempotent ? null : "key", true, 3);
+    run(engine, idempotent, true, channel);
+    return channel;
+  }
+
+  private void run(
+      ScriptedEngine engine, boolean idempotent, boolean streamed, MemoryChannel channel)
+      throws IOException {
+    CallerRequest request = request(streamed);
+    CallerAnswer answer = new CallerAnswer(channel, request.id(), streamed);
+    RequestTraits traits = new RequestTraits(idempotent, idempotent ? null : "key", streamed, 3);
     new RequestDriver(
             clock,
             engine,
@@ -123,10 +153,9 @@
             route(idempotent),
             pool())
         .run();
-    return channel;
   }
 
-  private CallerRequest request() {
+  private CallerRequest request(boolean streamed) {
     return new CallerRequest(
         new RequestId("r1"),
         new CallerId("planning"),
@@ -134,7 +163,7 @@
         "/v1/chat/completions",
         "application/json",
         new byte[] {'{', '}'},
-        new ChatBody("m", true, 4),
+        new ChatBody("m", streamed, 4),
         "key",
         clock.nowMs(),
         0);
@@ -169,7 +198,7 @@
   }
 
   /** Admits each try to a group that was not tried yet. */
-  private static final class AnyGroup implements Admission {
+  private final class AnyGroup implements Admission {
 
     @Override
     public Result admit(Ask ask) {
@@ -184,14 +213,17 @@
               "i",
               false,
               0);
-      return new Result.Admitted(new AnyPermit(group, ask.deadlineAtMs()));
+      return new Result.Admitted(new AnyPermit(group, ask.deadlineAtMs(), released));
     }
   }
 
-  private record AnyPermit(ServingGroup group, long endsAtMs) implements Admission.Permit {
+  private record AnyPermit(ServingGroup group, long endsAtMs, AtomicInteger released)
+      implements Admission.Permit {
 
     @Override
-    public void release(Admission.TryReport report) {}
+    public void release(Admission.TryReport report) {
+      released.incrementAndGet();
+    }
   }
 
   private static final class NoNotices implements NoticePort {
@@ -203,7 +235,7 @@
     public void spread(CrashNotice notice) {}
   }
 
-  private static final class AlwaysGranted implements Claims {
+  private final class AlwaysGranted implements Claims {
 
     @Override
     public RequestEvent claim(String key, CallerRequest request, long deadlineAtMs) {
@@ -211,7 +243,9 @@
     }
 
     @Override
-    public void settle(String key, CallerRequest request, RunState runState, CallerAnswer answer) {}
+    public void settle(String key, CallerRequest request, RunState runState, CallerAnswer answer) {
+      settled.add(runState);
+    }
 
     @Override
     public void replay(String key, CallerRequest request, CallerAnswer answer) {}
--- a/limpetd/src/test/java/org/limpetring/daemon/caller/ScriptedEngine.java
+++ b/limpetd/src/test/java/org/limpetring/daemon/caller/ScriptedEngine.java
@@ -21,8 +21,9 @@
    * One try.
    *
    * @param events events that it delivers before it ends
+   * @param eventBytes length of each, or 0 for the usual one
    */
-  record Try(int events, Outcome outcome) {}
+  record Try(int events, int eventBytes, Outcome outcome) {}
 
   private final Deque<Try> script;
   private final List<Integer> resumeOffsets = new ArrayList<>();
@@ -47,7 +48,8 @@
       sink.begin(200, "text/event-stream");
       for (int event = 0; event < next.events(); event++) {
         int index = request.resumeOffset() + event;
-        sink.part(("data: " + index + "\n\n").getBytes(StandardCharsets.UTF_8));
+        byte[] usual = ("data: " + index + "\n\n").getBytes(StandardCharsets.UTF_8);
+        sink.part(next.eventBytes() == 0 ? usual : new byte[next.eventBytes()]);
       }
       if (next.outcome().code() == ResultCode.OK && request.streamed()) {
         sink.part("data: [DONE]\n\n".getBytes(StandardCharsets.UTF_8));
