Dispatch looks at cold marks and incarnation once more

Cause: reading the code: between admission and dispatch (a claim may take seconds) a group could turn cold or restart, and the request would have reached it outside of its cold budget. Change: DaemonState.serves also compares incarnation and cold state, and knows whether the permit is a cold one.

--- a/limpetd/src/main/java/org/limpetring/daemon/admission/ColdGroups.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/admission/ColdGroups.java
@@ -129,6 +129,11 @@
       return group;
     }
 
+    @Override
+    public boolean isCold() {
+      return true;
+    }
+
     @Override
     public long endsAtMs() {
       return askedMs + permit.validMs();
--- a/limpetd/src/main/java/org/limpetring/daemon/admission/PoolGate.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/admission/PoolGate.java
@@ -76,6 +76,11 @@
       return group;
     }
 
+    @Override
+    public boolean isCold() {
+      return false;
+    }
+
     @Override
     public long endsAtMs() {
       return endsAtMs;
--- a/limpetd/src/main/java/org/limpetring/daemon/caller/Admission.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/caller/Admission.java
@@ -53,6 +53,9 @@
     /** Group that the request may go to. */
     ServingGroup group();
 
+    /** Whether the request counts against the group's cold budget. */
+    boolean isCold();
+
     /** Reading of the monotonic clock at which the request must have left the group. */
     long endsAtMs();
 
--- a/limpetd/src/main/java/org/limpetring/daemon/caller/DaemonState.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/caller/DaemonState.java
@@ -16,8 +16,12 @@
   /** Whether this daemon could have learnt of a change lately enough to take new work. */
   boolean isFresh(long nowMs);
 
-  /** Whether {@code group} may take new work at {@code nowMs} as it was chosen. */
-  boolean serves(ServingGroup group, long nowMs);
+  /**
+   * Whether {@code group} may take new work at {@code nowMs} as it was chosen.
+   *
+   * @param asCold whether it was chosen within its cold budget
+   */
+  boolean serves(ServingGroup group, boolean asCold, long nowMs);
 
   /** Whether a configuration is in force and the daemon may take requests. */
   boolean isReady();
--- a/limpetd/src/main/java/org/limpetring/daemon/caller/RequestDriver.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/caller/RequestDriver.java
@@ -167,10 +167,11 @@
   private RequestEvent dispatch(RequestEffect.Dispatch dispatch) {
     ServingGroup group = dispatch.group();
     long nowMs = clock.nowMs();
-    if (!state.isFresh(nowMs) || !state.serves(group, nowMs)) {
+    Admission.Permit held = Objects.requireNonNull(permit);
+    if (!state.isFresh(nowMs) || !state.serves(group, held.isCold(), nowMs)) {
       return new RequestEvent.GroupGone();
     }
-    long endsAtMs = Math.min(deadlineAtMs, Objects.requireNonNull(permit).endsAtMs());
+    long endsAtMs = Math.min(deadlineAtMs, held.endsAtMs());
     if (nowMs >= endsAtMs) {
       return new RequestEvent.DeadlinePassed();
     }
--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/LiveState.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/LiveState.java
@@ -91,8 +91,10 @@
   }
 
   @Override
-  public boolean serves(ServingGroup group, long nowMs) {
-    return groups.view().serves(group.id(), group.epoch(), nowMs);
+  public boolean serves(ServingGroup group, boolean asCold, long nowMs) {
+    return groups.view().serves(group.id(), group.epoch(), nowMs)
+        && groups().stillServes(group)
+        && (asCold || !marks.isCold(group));
   }
 
   @Override
--- a/limpetd/src/test/java/org/limpetring/daemon/caller/RequestDriverTest.java
+++ b/limpetd/src/test/java/org/limpetring/daemon/caller/RequestDriverTest.java
@@ -220,6 +220,11 @@
   private record AnyPermit(ServingGroup group, long endsAtMs, AtomicInteger released)
       implements Admission.Permit {
 
+    @Override
+    public boolean isCold() {
+      return false;
+    }
+
     @Override
     public void release(Admission.TryReport report) {
       released.incrementAndGet();
@@ -269,7 +274,7 @@
     }
 
     @Override
-    public boolean serves(ServingGroup group, long nowMs) {
+    public boolean serves(ServingGroup group, boolean asCold, long nowMs) {
       return lookups.incrementAndGet() > goneLookups;
     }
 
