A daemon that resumes after a pause sends callers elsewhere until it knows the groups again

Change: PauseWatch; until two seconds after a gap of the control loop the daemon counts as stale, whose refusal tells callers to go elsewhere at once.

--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/ControlLoops.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/ControlLoops.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.jboss.logging.Logger;
+import org.limpetring.base.Clock;
 import org.limpetring.base.LogEvent;
 import org.limpetring.daemon.admission.GatedAdmission;
 import org.limpetring.fleet.node.FleetNode;
@@ -28,6 +29,8 @@
   private final GroupController groups;
   private final TopicSpread spread;
   private final GatedAdmission admission;
+  private final PauseWatch pauses;
+  private final Clock clock;
 
   /** Takes the parts that are to run. */
   @Inject
@@ -38,7 +41,9 @@
       HostPoller hosts,
       GroupController groups,
       TopicSpread spread,
-      GatedAdmission admission) {
+      GatedAdmission admission,
+      PauseWatch pauses,
+      Clock clock) {
     this.threads = threads;
     this.peers = peers;
     this.node = node;
@@ -46,6 +51,8 @@
     this.groups = groups;
     this.spread = spread;
     this.admission = admission;
+    this.pauses = pauses;
+    this.clock = clock;
   }
 
   /** Starts all loops. */
@@ -71,6 +78,7 @@
   }
 
   private void tickGroups() {
+    pauses.tick(clock.nowMs());
     groups.tick();
     spread.spreadObservation(groups);
   }
--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/LiveState.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/LiveState.java
@@ -23,6 +23,7 @@
   private final Clock clock;
   private final FleetPort fleet;
   private final GroupController groups;
+  private final PauseWatch pauses;
   private final ColdMarks marks;
   private final DaemonId self;
   private final DaemonSettings settings;
@@ -37,12 +38,14 @@
       Clock clock,
       FleetPort fleet,
       GroupController groups,
+      PauseWatch pauses,
       ColdMarks marks,
       DaemonId self,
       DaemonSettings settings) {
     this.clock = clock;
     this.fleet = fleet;
     this.groups = groups;
+    this.pauses = pauses;
     this.marks = marks;
     this.self = self;
     this.settings = settings;
@@ -87,7 +90,7 @@
 
   @Override
   public boolean isFresh(long nowMs) {
-    return fleet.isFresh(nowMs);
+    return fleet.isFresh(nowMs) && pauses.isSettled(nowMs);
   }
 
   @Override
