Log the end of a planned stop before the server's logging ends

Cause: event 1003 never appeared: stopping the server ends the logging that it would have gone to. Change: the event is written before the server stops.

--- a/limpetd/src/main/java/org/limpetring/daemon/GracefulStop.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/GracefulStop.java
@@ -56,8 +56,8 @@
     int cut = inProgress.awaitNone(settings.graceMs(), clock);
     Invariant.NO_CUT_ON_STOP.check(cut == 0, cut + " requests outlast the grace period");
     loops.leave();
-    stopServer(server);
     LogEvent.PROCESS_STOPPED.log(LOGGER, clock.nowMs() - startMs, cut);
+    stopServer(server);
   }
 
   private static void pause(long waitMs) {
