--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/DecisionLog.java
@@ -0,0 +1,123 @@
+package org.limpetring.entry;
+
+import java.io.FileOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.nio.charset.StandardCharsets;
+import org.limpetring.base.Clock;
+import org.limpetring.base.LogEvent;
+
+/**
+ * Structured log: one JSON object a line on standard output, numbered as in {@link LogEvent}.
+ *
+ * <p>Writing never blocks the caller: lines go into a bounded buffer that a thread of its own
+ * empties; what doesn't fit is dropped and counted.
+ */
+public final class DecisionLog {
+
+  /** Bytes that wait for the output at most. */
+  private static final int MAX_BUFFERED_CHARS = 262_144;
+
+  /** Pause between two writes; longer pauses mean fewer wake-ups and later lines. */
+  private static final long FLUSH_MS = 250;
+
+  private final OutputStream output;
+  private final Clock wallClock;
+  private final StringBuilder buffer = new StringBuilder();
+  private long droppedCount;
+  private volatile boolean isClosing;
+
+  /** Log to a stream; {@link #start} begins to empty the buffer. */
+  public DecisionLog(OutputStream output, Clock wallClock) {
+    this.output = output;
+    this.wallClock = wallClock;
+  }
+
+  /** Log to standard output. */
+  public static DecisionLog standardOutput() {
+    DecisionLog log =
+        new DecisionLog(new FileOutputStream(java.io.FileDescriptor.out), Clock.wall());
+    log.start();
+    return log;
+  }
+
+  private void start() {
+    Thread writer = new Thread(this::emptyBuffer, "log");
+    writer.setDaemon(true);
+    writer.start();
+  }
+
+  private void emptyBuffer() {
+    while (!isClosing) {
+      flush();
+      try {
+        Thread.sleep(FLUSH_MS);
+      } catch (InterruptedException stop) {
+        Thread.currentThread().interrupt();
+        return;
+      }
+    }
+  }
+
+  /** Writes an event with fields, given as name and value in turn. */
+  public void write(LogEvent event, Object... fields) {
+    synchronized (buffer) {
+      if (buffer.length() > MAX_BUFFERED_CHARS) {
+        droppedCount++;
+        return;
+      }
+      buffer.append("{\"t\":").append(wallClock.nowMs());
+      buffer.append(",\"event\":").append(event.number());
+      buffer.append(",\"name\":\"").append(event.name()).append('"');
+      for (int i = 0; i + 1 < fields.length; i += 2) {
+        buffer.append(",\"").append(fields[i]).append("\":");
+        appendValue(fields[i + 1]);
+      }
+      buffer.append("}\n");
+    }
+  }
+
+  private void appendValue(Object value) {
+    if (value instanceof Number || value instanceof Boolean) {
+      buffer.append(value);
+      return;
+    }
+    buffer.append('"');
+    String text = String.valueOf(value);
+    for (int i = 0; i < text.length(); i++) {
+      char c = text.charAt(i);
+      if (c == '"' || c == '\\') {
+        buffer.append('\\').append(c);
+      } else if (c < ' ') {
+        buffer.append(' ');
+      } else {
+        buffer.append(c);
+      }
+    }
+    buffer.append('"');
+  }
+
+  /** Hands the buffered lines to the output. */
+  public void flush() {
+    String lines;
+    long dropped;
+    synchronized (buffer) {
+      lines = buffer.toString();
+      buffer.setLength(0);
+      dropped = droppedCount;
+      droppedCount = 0;
+    }
+    if (dropped > 0) {
+      write(LogEvent.LINES_DROPPED, "count", dropped);
+    }
+    if (lines.isEmpty()) {
+      return;
+    }
+    try {
+      output.write(lines.getBytes(StandardCharsets.UTF_8));
+      output.flush();
+    } catch (IOException closed) {
+      isClosing = true; // nobody reads the output any more, and there is nowhere else to say so
+    }
+  }
+}
--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
@@ -0,0 +1,536 @@
+package org.limpetring.entry;
+
+import io.netty.channel.EventLoop;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.base.Clock;
+import org.limpetring.base.LogEvent;
+import org.limpetring.base.ResultCode;
+import org.limpetring.entry.model.EngineSpec;
+import org.limpetring.entry.model.EntryConfig;
+import org.limpetring.entry.model.EntrySettings;
+import org.limpetring.entry.model.Limits;
+import org.limpetring.entry.model.MemberState;
+import org.limpetring.entry.model.Membership;
+import org.limpetring.entry.model.ModelSpec;
+import org.limpetring.entry.model.ServiceSpec;
+import org.limpetring.entry.model.Upstream;
+import org.limpetring.entry.net.HttpConnections;
+import org.limpetring.entry.net.SendFailure;
+import org.limpetring.entry.peer.PeerBook;
+import org.limpetring.entry.peer.PeerState;
+import org.limpetring.entry.place.Admission;
+import org.limpetring.entry.place.ColdShare;
+import org.limpetring.entry.place.Demand;
+import org.limpetring.entry.place.Place;
+import org.limpetring.entry.place.RepeatBudget;
+import org.limpetring.entry.place.Verdict;
+import org.limpetring.entry.place.WaitQueue;
+import org.limpetring.entry.port.RequestFormat;
+import org.limpetring.entry.route.RouteTable;
+
+/** State of the request path and the decisions on it; lives on the event loop. */
+final class EntryCore {
+
+  /** Cost of another failure domain when places are compared, in ms: the way and the bytes. */
+  private static final double OTHER_DOMAIN_MS = 12;
+
+  /** A suspicion that nothing confirms ends after this time; the planner's probes take less. */
+  private static final long SUSPICION_MS = 1_500;
+
+  private static final RouteTable NO_TABLE =
+      new RouteTable(new EntryConfig(0, List.of(), Map.of(), Map.of(), true, Limits.UNKNOWN));
+
+  private final EntrySettings settings;
+  private final EventLoop loop;
+  private final Clock clock;
+  private final DecisionLog log;
+  private final EntryMetrics metrics;
+  private final HttpConnections connections;
+  private final RequestFormat format;
+  private final PlatformView view;
+  private final PeerBook peers;
+  private final RepeatBudget budget;
+  private final ColdShare coldShare = new ColdShare();
+  private final Map<String, Place> places = new LinkedHashMap<>();
+  private final Map<String, List<Place>> placesByPool = new HashMap<>();
+  private final Map<String, WaitQueue<RequestFlow>> queues = new HashMap<>();
+  private final Set<RequestFlow> flows = new HashSet<>();
+  private final Set<String> endedGroups = new HashSet<>();
+  private RouteTable table = NO_TABLE;
+  private boolean isStopping;
+  private boolean isDrainScheduled;
+  private boolean isIndexStale;
+
+  EntryCore(
+      EntrySettings settings,
+      EventLoop loop,
+      Clock clock,
+      DecisionLog log,
+      EntryMetrics metrics,
+      HttpConnections connections,
+      RequestFormat format,
+      PlatformView view,
+      PeerBook peers) {
+    this.settings = settings;
+    this.loop = loop;
+    this.clock = clock;
+    this.log = log;
+    this.metrics = metrics;
+    this.connections = connections;
+    this.format = format;
+    this.view = view;
+    this.peers = peers;
+    EntrySettings.Bounds bounds = settings.bounds();
+    this.budget =
+        new RepeatBudget(bounds.repeatRatio(), bounds.repeatExtra(), bounds.repeatWindowMs());
+  }
+
+  long nowMs() {
+    return clock.nowMs();
+  }
+
+  EventLoop loop() {
+    return loop;
+  }
+
+  DecisionLog log() {
+    return log;
+  }
+
+  EntryMetrics metrics() {
+    return metrics;
+  }
+
+  HttpConnections connections() {
+    return connections;
+  }
+
+  RequestFormat format() {
+    return format;
+  }
+
+  RepeatBudget budget() {
+    return budget;
+  }
+
+  RouteTable table() {
+    return table;
+  }
+
+  boolean hasConfig() {
+    return table != NO_TABLE;
+  }
+
+  boolean isStopping() {
+    return isStopping;
+  }
+
+  void stop() {
+    isStopping = true;
+  }
+
+  /** Requests in progress. */
+  int flowCount() {
+    return flows.size();
+  }
+
+  /** Daemons that share the bounds; those that fell silent lately may still send. */
+  int daemons() {
+    return peers.knownCount();
+  }
+
+  /** Pause that a refused caller is asked to keep. */
+  long retryAfterMs() {
+    return 300;
+  }
+
+  // beliefs
+
+  void onConfig(EntryConfig config) {
+    table = new RouteTable(config);
+    isIndexStale = true;
+    scheduleDrain();
+  }
+
+  void onUpstreamsChanged() {
+    isIndexStale = true;
+    scheduleDrain();
+  }
+
+  /** The planner, here or told by another daemon, takes a group apart. */
+  void onGroupEnding(String placeKey, String reason) {
+    if (endedGroups.add(placeKey)) {
+      isIndexStale = true;
+      failOver(placeKey, reason);
+    }
+  }
+
+  private void failOver(String placeKey, String reason) {
+    for (RequestFlow flow : List.copyOf(flows)) {
+      Place place = flow.place();
+      if (place != null && place.key().equals(placeKey)) {
+        flow.onGroupLost(reason);
+      }
+    }
+  }
+
+  private void refreshIndex() {
+    if (!isIndexStale) {
+      return;
+    }
+    isIndexStale = false;
+    Map<String, Integer> members = countMembers();
+    Map<String, Place> before = new HashMap<>(places);
+    places.clear();
+    placesByPool.clear();
+    for (PlatformView.Listed listed : view.upstreams()) {
+      Upstream upstream = listed.upstream;
+      ServiceSpec service = table.config().service(upstream.service());
+      if (service == null || upstream.isLeaving() || listed.removeAtMs != Long.MAX_VALUE) {
+        continue;
+      }
+      Place place = place(upstream, service, members, before);
+      if (place != null && !view.domainsOut().contains(upstream.failureDomain())) {
+        places.put(place.key(), place);
+        placesByPool
+            .computeIfAbsent(poolKey(service.name(), modelName(place)), key -> new ArrayList<>())
+            .add(place);
+      }
+    }
+  }
+
+  private @Nullable Place place(
+      Upstream upstream,
+      ServiceSpec service,
+      Map<String, Integer> members,
+      Map<String, Place> before) {
+    EngineSpec engine = service.engine();
+    if (engine == null) {
+      Place known = before.get(upstream.life());
+      return known != null && known.upstream().address().equals(upstream.address())
+          ? known
+          : new Place(upstream.life(), upstream, null, null);
+    }
+    Membership membership = upstream.membership();
+    String modelName = upstream.engine() == null ? null : upstream.engine().model();
+    if (membership == null
+        || membership.rank() != 0
+        || membership.state() != MemberState.OPEN
+        || modelName == null) {
+      return null;
+    }
+    ModelSpec model = engine.model(modelName);
+    String groupKey = groupKey(upstream.service(), membership);
+    boolean isWhole = model != null && members.getOrDefault(groupKey, 0) >= model.groupSize();
+    String key = placeKey(upstream, membership);
+    if (model == null || !isWhole || endedGroups.contains(key)) {
+      return null;
+    }
+    Place known = before.get(key);
+    return known != null ? known : new Place(key, upstream, engine, model);
+  }
+
+  /** Listed members of each group; those that left the list do not count. */
+  private Map<String, Integer> countMembers() {
+    Map<String, Integer> counts = new HashMap<>();
+    for (PlatformView.Listed listed : view.upstreams()) {
+      Membership membership = listed.upstream.membership();
+      if (membership != null && membership.state() != MemberState.JOINING) {
+        counts.merge(groupKey(listed.upstream.service(), membership), 1, Integer::sum);
+      }
+    }
+    return counts;
+  }
+
+  private static String groupKey(String service, Membership membership) {
+    return service + '/' + membership.group() + '/' + membership.epoch();
+  }
+
+  /** Names a head's time in one group. */
+  static String placeKey(Upstream head, Membership membership) {
+    return placeKey(head.id(), membership.group(), membership.epoch());
+  }
+
+  /** Names a head's time in one group. */
+  static String placeKey(String headId, String group, long epoch) {
+    return headId + '/' + group + '/' + epoch;
+  }
+
+  private static String modelName(Place place) {
+    ModelSpec model = place.model();
+    return model == null ? "" : model.name();
+  }
+
+  private String poolKey(String service, @Nullable String model) {
+    ServiceSpec spec = table.config().service(service);
+    boolean isPlain = spec == null || spec.engine() == null || model == null;
+    return isPlain ? service + '/' : service + '/' + model;
+  }
+
+  // admission
+
+  /** Finds a place for a request, or lets it wait, or refuses it. */
+  void admit(RequestFlow flow) {
+    flows.add(flow);
+    refreshIndex();
+    if (!flow.isStillAllowed()) {
+      return;
+    }
+    String pool = poolKey(flow.service(), flow.model());
+    WaitQueue<RequestFlow> queue = queues.computeIfAbsent(pool, key -> new WaitQueue<>());
+    // a stream that goes on after a loss does not stand behind new requests
+    int ahead = flow.isStreamStarted() ? 0 : queue.ahead(flow.demand());
+    decide(flow, pool, queue, ahead, false);
+  }
+
+  /** Decides on a request; returns whether it stays in the queue. */
+  private boolean decide(
+      RequestFlow flow, String pool, WaitQueue<RequestFlow> queue, int ahead, boolean isQueued) {
+    long nowMs = nowMs();
+    Demand demand = flow.demand();
+    List<Place> candidates = candidates(flow, pool, nowMs);
+    Verdict verdict =
+        Admission.decide(demand, candidates, ahead, alive(nowMs), this::extraMs, nowMs);
+    if (verdict instanceof Verdict.Send send && takeCold(send.place(), nowMs)) {
+      if (isQueued) {
+        queue.remove(flow);
+      }
+      flow.send(send.place());
+      return false;
+    }
+    boolean mayWait = !(verdict instanceof Verdict.Refuse) || flow.isStreamStarted();
+    if (mayWait) {
+      if (!isQueued) {
+        queue.add(demand, flow);
+        log.write(
+            LogEvent.REQUEST_WAITING,
+            "request",
+            flow.id(),
+            "pool",
+            pool,
+            "places",
+            candidates.size(),
+            "ahead",
+            ahead,
+            "returned",
+            demand.isReturned());
+      }
+      return true;
+    }
+    if (isQueued) {
+      queue.remove(flow);
+    }
+    Verdict.Refuse refuse = (Verdict.Refuse) verdict;
+    flow.refuse(
+        candidates.isEmpty() ? ResultCode.NO_GROUP_SERVING : ResultCode.LIMIT_REACHED,
+        refuse.retryAfterMs(),
+        refuse.reason());
+    return false;
+  }
+
+  private int alive(long nowMs) {
+    return peers.aliveCount(nowMs);
+  }
+
+  private List<Place> candidates(RequestFlow flow, String pool, long nowMs) {
+    List<Place> all = placesByPool.getOrDefault(pool, List.of());
+    List<Place> untried = new ArrayList<>(all.size());
+    boolean allRest = true;
+    for (Place place : all) {
+      allRest = allRest && place.isResting(nowMs);
+    }
+    for (Place place : all) {
+      if (!flow.hasTried(place) && (allRest || !place.isResting(nowMs))) {
+        untried.add(place);
+      }
+    }
+    return untried;
+  }
+
+  private double extraMs(Place place) {
+    return place.upstream().failureDomain().equals(settings.failureDomain()) ? 0 : OTHER_DOMAIN_MS;
+  }
+
+  /** Whether the place bears one more request; a cold one bears only a share. */
+  private boolean takeCold(Place place, long nowMs) {
+    PlatformView.Listed listed = view.listed(place.upstream().id());
+    if (listed == null || listed.coldLeftMs(nowMs) <= 0) {
+      return true;
+    }
+    ServiceSpec service = table.config().service(place.upstream().service());
+    if (service == null || service.coldPerSecond() <= 0) {
+      return true;
+    }
+    return coldShare.tryTake(place.upstream().life(), service.coldPerSecond(), daemons(), nowMs);
+  }
+
+  /** Gives places to waiting requests, in their order. */
+  private void drain() {
+    isDrainScheduled = false;
+    refreshIndex();
+    int waiting = 0;
+    for (Map.Entry<String, WaitQueue<RequestFlow>> entry : queues.entrySet()) {
+      WaitQueue<RequestFlow> queue = entry.getValue();
+      int ahead = 0;
+      for (WaitQueue.Waiting<RequestFlow> each : queue.inOrder()) {
+        RequestFlow flow = each.request();
+        if (flow.isOver()) {
+          queue.remove(flow);
+          continue;
+        }
+        if (!flow.isStillAllowed()) {
+          queue.remove(flow);
+          continue;
+        }
+        if (decide(flow, entry.getKey(), queue, ahead, true)) {
+          ahead++;
+        }
+      }
+      waiting += queue.size();
+    }
+    metrics.waiting(waiting);
+  }
+
+  private void scheduleDrain() {
+    if (!isDrainScheduled) {
+      isDrainScheduled = true;
+      loop.execute(this::drain);
+    }
+  }
+
+  // events of requests
+
+  void onPlaceFreed(RequestFlow flow, Place place) {
+    if (!queues.isEmpty()) {
+      scheduleDrain();
+    }
+  }
+
+  void forget(RequestFlow flow) {
+    for (WaitQueue<RequestFlow> queue : queues.values()) {
+      queue.remove(flow);
+    }
+  }
+
+  void onFlowOver(RequestFlow flow) {
+    flows.remove(flow);
+  }
+
+  /** The address belongs to another upstream, or the head no longer serves the group. */
+  void onWrongUpstream(Place place, @Nullable String faultyUpstream) {
+    suspect(place, "wrong upstream");
+  }
+
+  /** The head says that a member is at fault. */
+  void onMemberFault(Place place, String memberId) {
+    if (!memberId.equals(place.upstream().id())) {
+      suspect(place, "member " + memberId + " at fault");
+    }
+  }
+
+  void onSendFailure(Place place, SendFailure failure) {
+    boolean isGone = failure == SendFailure.REFUSED || failure == SendFailure.CONNECT_TIMEOUT;
+    if (place.model() != null && isGone) {
+      suspect(place, "connection " + failure);
+    }
+  }
+
+  private void suspect(Place place, String reason) {
+    long nowMs = nowMs();
+    boolean isNews = !place.isSuspected(nowMs);
+    place.suspectUntil(nowMs + SUSPICION_MS);
+    if (!isNews) {
+      return;
+    }
+    log.write(
+        LogEvent.GROUP_SUSPECTED,
+        "place",
+        place.key(),
+        "reason",
+        reason,
+        "inFlight",
+        place.ownInFlight(),
+        "passMs",
+        (long) place.currentPassMs(nowMs));
+  }
+
+  // upkeep
+
+  /** Looks for groups that stand still, takes over the peers' loads, retries what waits. */
+  void tick() {
+    long nowMs = nowMs();
+    for (Place place : places.values()) {
+      place.setPeerInFlight(peers.inFlight(place.key(), nowMs));
+      if (place.model() != null && place.silentMs(nowMs) > place.silenceLimitMs(nowMs)) {
+        suspect(place, "silent for " + place.silentMs(nowMs) + " ms");
+      }
+    }
+    boolean hasWaiting = false;
+    for (WaitQueue<RequestFlow> queue : queues.values()) {
+      hasWaiting = hasWaiting || queue.size() > 0;
+    }
+    if (hasWaiting || isIndexStale) {
+      scheduleDrain();
+    }
+  }
+
+  /** Frees what is no longer needed. */
+  void sweep() {
+    connections.closeExpired();
+    coldShare.forgetBefore(nowMs() - 10_000);
+    endedGroups.retainAll(currentHeads());
+  }
+
+  private Set<String> currentHeads() {
+    Set<String> keys = new HashSet<>();
+    for (PlatformView.Listed listed : view.upstreams()) {
+      Membership membership = listed.upstream.membership();
+      if (membership != null && membership.rank() == 0) {
+        keys.add(placeKey(listed.upstream, membership));
+      }
+    }
+    return keys;
+  }
+
+  /** Loads of all places with requests of this daemon, or that stand still. */
+  List<PeerState.Load> loads() {
+    List<PeerState.Load> loads = new ArrayList<>();
+    long nowMs = nowMs();
+    for (Place place : places.values()) {
+      boolean isSuspected = place.isSuspected(nowMs);
+      if (place.ownInFlight() > 0 || isSuspected) {
+        loads.add(new PeerState.Load(place.key(), place.ownInFlight(), isSuspected));
+      }
+    }
+    return loads;
+  }
+
+  /** Keys of places that stand still as this daemon or another sees it. */
+  Set<String> suspectedPlaces() {
+    Set<String> keys = new HashSet<>();
+    long nowMs = nowMs();
+    for (Place place : places.values()) {
+      if (place.model() != null
+          && (place.isSuspected(nowMs) || peers.isSuspected(place.key(), nowMs))) {
+        keys.add(place.key());
+      }
+    }
+    return keys;
+  }
+
+  /** A suspicion turned out wrong. */
+  void clearSuspicion(String placeKey) {
+    Place place = places.get(placeKey);
+    if (place != null && place.isSuspected(nowMs())) {
+      place.suspectUntil(nowMs());
+      scheduleDrain();
+    }
+  }
+}
--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
@@ -0,0 +1,472 @@
+package org.limpetring.entry;
+
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.base.Clock;
+import org.limpetring.base.LogEvent;
+import org.limpetring.entry.group.GroupKeeper;
+import org.limpetring.entry.group.PlannerRole;
+import org.limpetring.entry.model.DaemonEntry;
+import org.limpetring.entry.model.EntryConfig;
+import org.limpetring.entry.model.EntrySettings;
+import org.limpetring.entry.model.PlannedGroup;
+import org.limpetring.entry.model.ServiceSpec;
+import org.limpetring.entry.model.Upstream;
+import org.limpetring.entry.net.HttpCalls;
+import org.limpetring.entry.net.HttpConnections;
+import org.limpetring.entry.net.HttpListener;
+import org.limpetring.entry.peer.PeerBook;
+import org.limpetring.entry.peer.PeerLink;
+import org.limpetring.entry.peer.PeerState;
+import org.limpetring.entry.port.EngineControl;
+import org.limpetring.entry.port.ObjectKind;
+import org.limpetring.entry.port.PlatformStore;
+import org.limpetring.entry.port.RequestFormat;
+import org.limpetring.entry.port.StoreReply;
+import org.limpetring.entry.port.StoredObject;
+import org.limpetring.entry.port.StoredObjects;
+
+/** The daemon: one event loop, its sockets, and the decisions called from it. */
+public final class EntryDaemon {
+
+  /** What an adapter brings to the daemon. */
+  public interface Platform {
+
+    /** The store, over the daemon's connections. */
+    PlatformStore store(HttpCalls calls, DecisionLog log);
+
+    /** Orders to engines, over the daemon's connections. */
+    EngineControl engines(HttpCalls calls);
+
+    /** Headers of requests and answers. */
+    RequestFormat format();
+  }
+
+  /** Step of the decisions that look at the time. */
+  private static final long TICK_MS = 50;
+
+  private static final long SWEEP_MS = 1_000;
+
+  /** Interval of a few daemons' datagrams; grows with their number so that the bytes do not. */
+  private static final long MIN_PEER_MS = 150;
+
+  private static final long PEER_MS_PER_DAEMON = 12;
+
+  /** The planner is heard more often than its silence is waited for. */
+  private static final long MAX_PLANNER_MS = 300;
+
+  /** The balancer takes a daemon out after two misses, a second apart. */
+  private static final long BALANCER_MS = 2_600;
+
+  /** Part of the grace time after which the daemon ends whatever is still in progress. */
+  private static final double GRACE_PART = 0.97;
+
+  private static final long CALL_TIMEOUT_MS = 1_000;
+  private static final long CALL_RETRY_MS = 500;
+
+  private final EntrySettings settings;
+  private final DecisionLog log;
+  private final Clock clock = Clock.system();
+  private final EventLoop loop;
+  private final EntryMetrics metrics = new EntryMetrics();
+  private final PlatformView view;
+  private final PeerBook peers;
+  private final PeerLink link;
+  private final PlatformStore store;
+  private final EntryCore core;
+  private final CallerEdge edge;
+  private final PlannerRole role;
+  private final GroupKeeper keeper;
+  private final KindFeed<EntryConfig> configFeed;
+  private final KindFeed<Upstream> upstreamFeed;
+  private final KindFeed<String> domainFeed;
+  private final MultiThreadIoEventLoopGroup group;
+  private long peerSequence = Clock.wall().nowMs();
+  private long sentPeersMs = Long.MIN_VALUE / 2;
+  private long sweptMs = Long.MIN_VALUE / 2;
+  private boolean wasReady;
+  private long stopMs = Long.MAX_VALUE;
+
+  /** Daemon that has yet to start. */
+  public EntryDaemon(EntrySettings settings, Platform platform, DecisionLog log) {
+    this.settings = settings;
+    this.log = log;
+    this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    this.loop = group.next();
+    HttpConnections connections = new HttpConnections(loop, clock);
+    HttpCalls calls = new HttpCalls(connections);
+    this.store = platform.store(calls, log);
+    this.view = new PlatformView(clock, log);
+    this.peers = new PeerBook(settings.daemonName());
+    this.core =
+        new EntryCore(
+            settings, loop, clock, log, metrics, connections, platform.format(), view, peers);
+    this.edge = new CallerEdge(core);
+    this.role = new PlannerRole(settings.daemonName(), store, loop, clock, log, peers);
+    this.keeper =
+        new GroupKeeper(
+            role,
+            platform.engines(calls),
+            new KeeperSurroundings(),
+            clock,
+            log,
+            metrics,
+            settings.bounds().stallMs());
+    this.link = new PeerLink(loop, log, this::onPeer);
+    this.configFeed = feed(ObjectKind.CONFIG, new ConfigListener());
+    this.upstreamFeed = feed(ObjectKind.UPSTREAMS, new UpstreamListener());
+    this.domainFeed = feed(ObjectKind.DOMAINS_OUT, new DomainListener());
+  }
+
+  private <T> KindFeed<T> feed(ObjectKind<T> kind, KindFeed.Listener<T> listener) {
+    return new KindFeed<>(kind, store, loop, clock, log, listener);
+  }
+
+  /** Opens the sockets and begins to work. */
+  public void start() {
+    loop.execute(this::startOnLoop);
+  }
+
+  private void startOnLoop() {
+    StatusEdge status = new StatusEdge(core.format().readyPath(), this::isReady, metrics, log);
+    listen(settings.readyAddress(), status);
+    listen(settings.metricsAddress(), status);
+    listen(settings.callerAddress(), edge);
+    link.open(settings.peerAddress());
+    configFeed.start();
+    upstreamFeed.start();
+    domainFeed.start();
+    register();
+    listDaemons();
+    var unused =
+        loop.scheduleWithFixedDelay(this::tickSafely, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
+    log.write(
+        LogEvent.PROCESS_STARTED,
+        "daemon",
+        settings.daemonName(),
+        "failureDomain",
+        settings.failureDomain(),
+        "callers",
+        settings.callerAddress());
+  }
+
+  private void listen(
+      InetSocketAddress address, org.limpetring.entry.net.CallerConnection.Handler handler) {
+    ChannelFuture bound =
+        HttpListener.listen(
+            loop, address, () -> core.table().config().limits().maxHeaderBytes(), handler);
+    bound.addListener(
+        done -> {
+          if (!done.isSuccess()) {
+            log.write(
+                LogEvent.UNEXPECTED_FAILURE,
+                "in",
+                "listening at " + address,
+                "reason",
+                String.valueOf(done.cause()));
+          }
+        });
+  }
+
+  private boolean isReady() {
+    return core.hasConfig()
+        && upstreamFeed.isListed()
+        && domainFeed.isListed()
+        && !core.isStopping();
+  }
+
+  // beliefs
+
+  private final class ConfigListener implements KindFeed.Listener<EntryConfig> {
+    @Override
+    public void onAll(StoredObjects<EntryConfig> all) {
+      onChanges(all);
+    }
+
+    @Override
+    public void onChanges(StoredObjects<EntryConfig> changes) {
+      for (StoredObject<EntryConfig> object : changes.objects()) {
+        EntryConfig config = object.value();
+        if (config != null && view.onConfig(config, object.revision())) {
+          core.onConfig(config);
+        }
+      }
+    }
+  }
+
+  private final class UpstreamListener implements KindFeed.Listener<Upstream> {
+    @Override
+    public void onAll(StoredObjects<Upstream> all) {
+      view.onAllUpstreams(all, upstreamFeed.troubledMs());
+      core.onUpstreamsChanged();
+    }
+
+    @Override
+    public void onChanges(StoredObjects<Upstream> changes) {
+      for (StoredObject<Upstream> object : changes.objects()) {
+        view.onUpstream(object, upstreamFeed.troubledMs());
+      }
+      core.onUpstreamsChanged();
+      keeper.tick();
+    }
+  }
+
+  private final class DomainListener implements KindFeed.Listener<String> {
+    @Override
+    public void onAll(StoredObjects<String> all) {
+      view.onAllDomainsOut(all);
+      core.onUpstreamsChanged();
+    }
+
+    @Override
+    public void onChanges(StoredObjects<String> changes) {
+      for (StoredObject<String> object : changes.objects()) {
+        view.onDomainOut(object);
+      }
+      core.onUpstreamsChanged();
+    }
+  }
+
+  // other daemons
+
+  private DaemonEntry ownEntry() {
+    return new DaemonEntry(settings.daemonName(), settings.failureDomain(), settings.peerAddress());
+  }
+
+  private void register() {
+    store.create(
+        ObjectKind.DAEMONS,
+        settings.daemonName(),
+        ownEntry(),
+        CALL_TIMEOUT_MS,
+        reply -> {
+          if (reply instanceof StoreReply.Refused || reply instanceof StoreReply.Unknown) {
+            retry(this::register);
+          } else if (reply instanceof StoreReply.Conflict) {
+            renew();
+          }
+        });
+  }
+
+  /** An earlier life's entry stands already; it is replaced only if the address changed. */
+  private void renew() {
+    store.get(
+        ObjectKind.DAEMONS,
+        settings.daemonName(),
+        CALL_TIMEOUT_MS,
+        reply -> {
+          StoredObject<DaemonEntry> stored = reply.valueOrNull();
+          if (stored == null) {
+            retry(this::register);
+          } else if (!ownEntry().equals(stored.value())) {
+            store.replace(
+                ObjectKind.DAEMONS,
+                settings.daemonName(),
+                ownEntry(),
+                stored.revision(),
+                CALL_TIMEOUT_MS,
+                replaced -> {
+                  if (replaced.valueOrNull() == null) {
+                    retry(this::register);
+                  }
+                });
+          }
+        });
+  }
+
+  private void listDaemons() {
+    store.list(
+        ObjectKind.DAEMONS,
+        PlatformStore.Freshness.LINEARIZABLE,
+        CALL_TIMEOUT_MS,
+        reply -> {
+          StoredObjects<DaemonEntry> all = reply.valueOrNull();
+          if (all == null) {
+            retry(this::listDaemons);
+            return;
+          }
+          for (StoredObject<DaemonEntry> object : all.objects()) {
+            DaemonEntry entry = object.value();
+            if (entry != null) {
+              peers.onListed(entry.name(), entry.peerAddress());
+            }
+          }
+        });
+  }
+
+  private void retry(Runnable call) {
+    var unused = loop.schedule(call, CALL_RETRY_MS, TimeUnit.MILLISECONDS);
+  }
+
+  private void onPeer(PeerState state, InetSocketAddress from) {
+    long nowMs = clock.nowMs();
+    peers.onHeard(state, from, nowMs);
+    role.onPeer(state, nowMs);
+    if (state.isPlanner() && state.term() >= role.term()) {
+      for (String ended : state.endedPlaces()) {
+        core.onGroupEnding(ended, "planner " + state.name() + " ends it");
+      }
+    }
+  }
+
+  private void tellPeers(long nowMs) {
+    long intervalMs = Math.max(MIN_PEER_MS, PEER_MS_PER_DAEMON * peers.knownCount());
+    if (role.isPlanner()) {
+      intervalMs = Math.min(MAX_PLANNER_MS, intervalMs);
+    }
+    if (nowMs - sentPeersMs < intervalMs) {
+      return;
+    }
+    sentPeersMs = nowMs;
+    link.send(ownState(core.isStopping()), peers.addresses());
+  }
+
+  private PeerState ownState(boolean isStopping) {
+    List<String> ended = new ArrayList<>();
+    for (PlannedGroup group : keeper.ending()) {
+      ended.add(EntryCore.placeKey(group.head(), group.name(), group.epoch()));
+    }
+    return new PeerState(
+        settings.daemonName(),
+        settings.failureDomain(),
+        peerSequence++,
+        role.term(),
+        role.isPlanner(),
+        isStopping,
+        core.loads(),
+        ended);
+  }
+
+  // time
+
+  private void tickSafely() {
+    try {
+      tick();
+    } catch (RuntimeException failure) {
+      // a fault in one step must not end all later ones
+      log.write(
+          LogEvent.UNEXPECTED_FAILURE,
+          "in",
+          "tick",
+          "reason",
+          failure
+              + " at "
+              + (failure.getStackTrace().length > 0 ? failure.getStackTrace()[0] : ""));
+    }
+  }
+
+  private void tick() {
+    long nowMs = clock.nowMs();
+    if (view.removeExpired()) {
+      core.onUpstreamsChanged();
+    }
+    core.tick();
+    if (!core.isStopping() && upstreamFeed.isListed() && core.hasConfig()) {
+      role.tick(nowMs);
+      keeper.tick();
+    }
+    tellPeers(nowMs);
+    if (nowMs - sweptMs >= SWEEP_MS) {
+      sweptMs = nowMs;
+      core.sweep();
+    }
+    boolean isReady = isReady();
+    if (isReady != wasReady) {
+      wasReady = isReady;
+      log.write(LogEvent.READINESS_CHANGED, "ready", isReady);
+    }
+    if (core.isStopping()) {
+      tickStopping(nowMs);
+    }
+  }
+
+  /** Begins a planned stop: unready at once, ends once the work in progress is done. */
+  public void stop() {
+    loop.execute(
+        () -> {
+          if (core.isStopping()) {
+            return;
+          }
+          stopMs = clock.nowMs();
+          core.stop();
+          link.send(ownState(true), peers.addresses());
+          log.write(LogEvent.PROCESS_STOPPING, "reason", "signal", "requests", core.flowCount());
+        });
+  }
+
+  private void tickStopping(long nowMs) {
+    long stoppingMs = nowMs - stopMs;
+    if (stoppingMs < BALANCER_MS) {
+      return;
+    }
+    edge.closeIdle();
+    boolean isOver = stoppingMs > settings.bounds().graceMs() * GRACE_PART;
+    if (!edge.isBusy() || isOver) {
+      log.write(LogEvent.PROCESS_STOPPED, "afterMs", stoppingMs, "requests", core.flowCount());
+      log.flush();
+      group
+          .shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
+          .addListener(done -> Runtime.getRuntime().halt(0));
+    }
+  }
+
+  /** The settings file changed; figures of the platform are taken over at the next start. */
+  public void reload(EntrySettings changed) {
+    loop.execute(() -> log.write(LogEvent.SETTINGS_RELOADED, "changed", !changed.equals(settings)));
+  }
+
+  private final class KeeperSurroundings implements GroupKeeper.Surroundings {
+
+    @Override
+    public Iterable<Upstream> upstreams() {
+      List<Upstream> upstreams = new ArrayList<>();
+      for (PlatformView.Listed listed : view.upstreams()) {
+        upstreams.add(listed.upstream);
+      }
+      return upstreams;
+    }
+
+    @Override
+    public @Nullable Upstream upstream(String id) {
+      return view.upstream(id);
+    }
+
+    @Override
+    public Iterable<ServiceSpec> services() {
+      EntryConfig config = view.config();
+      return config == null ? List.of() : config.services().values();
+    }
+
+    @Override
+    public Set<String> domainsOut() {
+      return view.domainsOut();
+    }
+
+    @Override
+    public boolean isSuspected(PlannedGroup group) {
+      return core.suspectedPlaces().contains(key(group));
+    }
+
+    @Override
+    public void clearSuspicion(PlannedGroup group) {
+      core.clearSuspicion(key(group));
+    }
+
+    @Override
+    public void onGroupEnding(PlannedGroup group, String reason) {
+      core.onGroupEnding(key(group), reason);
+    }
+
+    private String key(PlannedGroup group) {
+      return EntryCore.placeKey(group.head(), group.name(), group.epoch());
+    }
+  }
+}
--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryMetrics.java
@@ -0,0 +1,94 @@
+package org.limpetring.entry;
+
+import io.prometheus.metrics.core.metrics.Counter;
+import io.prometheus.metrics.core.metrics.Gauge;
+import io.prometheus.metrics.core.metrics.Histogram;
+import io.prometheus.metrics.expositionformats.PrometheusTextFormatWriter;
+import io.prometheus.metrics.model.registry.PrometheusRegistry;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import org.limpetring.base.ResultCode;
+import org.limpetring.base.RunState;
+
+/** Counters and latency histograms of the entry host. */
+public final class EntryMetrics {
+
+  /** Bounds of the latency histograms, in ms. */
+  private static final double[] LATENCY_BOUNDS_MS = {
+    25, 50, 100, 150, 200, 300, 400, 600, 1_000, 2_000, 5_000, 10_000
+  };
+
+  private final PrometheusRegistry registry = new PrometheusRegistry();
+  private final Counter requests =
+      Counter.builder()
+          .name("limpet_entry_requests_total")
+          .help("Requests ended, by result code")
+          .labelNames("code")
+          .register(registry);
+  private final Counter repeats =
+      Counter.builder()
+          .name("limpet_entry_repeats_total")
+          .help("Sends beyond the first, by reason")
+          .labelNames("reason")
+          .register(registry);
+  private final Counter orders =
+      Counter.builder()
+          .name("limpet_entry_orders_total")
+          .help("Orders to engines, by order and answer")
+          .labelNames("order", "answer")
+          .register(registry);
+  private final Gauge waiting =
+      Gauge.builder()
+          .name("limpet_entry_waiting")
+          .help("Requests that wait for a place")
+          .register(registry);
+  private final Histogram firstEventMs =
+      Histogram.builder()
+          .name("limpet_entry_first_event_ms")
+          .help("Time to a stream's first event")
+          .classicOnly()
+          .classicUpperBounds(LATENCY_BOUNDS_MS)
+          .register(registry);
+  private final Histogram answerMs =
+      Histogram.builder()
+          .name("limpet_entry_answer_ms")
+          .help("Time to the whole answer")
+          .classicOnly()
+          .classicUpperBounds(LATENCY_BOUNDS_MS)
+          .register(registry);
+
+  /** Time to a stream's first event. */
+  public Histogram firstEventMs() {
+    return firstEventMs;
+  }
+
+  /** A request ended. */
+  public void ended(ResultCode code, long tookMs) {
+    requests.labelValues(code.name()).inc();
+    if (code.runState() == RunState.RAN) {
+      answerMs.observe(tookMs);
+    }
+  }
+
+  /** A request is sent once more. */
+  public void repeat(String reason) {
+    repeats.labelValues(reason).inc();
+  }
+
+  /** An engine answered an order, or not. */
+  public void order(String order, String reply) {
+    orders.labelValues(order, reply).inc();
+  }
+
+  /** Requests that wait now. */
+  public void waiting(int count) {
+    waiting.set(count);
+  }
+
+  /** All metrics in the text format. */
+  public byte[] text() throws IOException {
+    ByteArrayOutputStream out = new ByteArrayOutputStream(4_096);
+    PrometheusTextFormatWriter.create().write(out, registry.scrape());
+    return out.toByteArray();
+  }
+}
--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/KindFeed.java
@@ -0,0 +1,171 @@
+package org.limpetring.entry;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.ThreadLocalRandom;
+import java.util.concurrent.TimeUnit;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.base.Clock;
+import org.limpetring.base.LogEvent;
+import org.limpetring.entry.port.ObjectKind;
+import org.limpetring.entry.port.PlatformStore;
+import org.limpetring.entry.port.StoreReply;
+import org.limpetring.entry.port.StoredObjects;
+
+/**
+ * Follows one kind of object: lists it, then watches from the list's revision.
+ *
+ * <p>Answers the load pattern of a fleet that follows the same objects: a watch that returned is
+ * armed again only after a pause, so that changes in quick succession cost one call; failed calls
+ * are repeated after a randomized backoff.
+ */
+final class KindFeed<T> {
+
+  /** Gathers changes that come together; far below the bounds on drains and configuration. */
+  private static final long REARM_MS = 60;
+
+  /** Longest wait of a watch; a connection that went silent is found by keep-alive before. */
+  private static final long WAIT_MS = 4_000;
+
+  /** Time that a watch's answer may take beyond the wait. */
+  private static final long WATCH_SLACK_MS = 1_500;
+
+  private static final long LIST_TIMEOUT_MS = 1_500;
+  private static final long MIN_BACKOFF_MS = 80;
+
+  /** A store that is back has to be seen well within the time in which machines count as calm. */
+  private static final long MAX_BACKOFF_MS = 700;
+
+  /** Receives the objects of a kind. */
+  interface Listener<T> {
+
+    /** All objects as of a revision. */
+    void onAll(StoredObjects<T> all);
+
+    /** Changes up to a revision. */
+    void onChanges(StoredObjects<T> changes);
+  }
+
+  private final ObjectKind<T> kind;
+  private final PlatformStore store;
+  private final EventLoop loop;
+  private final Clock clock;
+  private final DecisionLog log;
+  private final Listener<T> listener;
+  private long revision;
+  private boolean isListed;
+  private long backoffMs = MIN_BACKOFF_MS;
+  private long confirmedMs;
+  private long troubledMs = Long.MIN_VALUE / 2;
+  private boolean isLost;
+
+  KindFeed(
+      ObjectKind<T> kind,
+      PlatformStore store,
+      EventLoop loop,
+      Clock clock,
+      DecisionLog log,
+      Listener<T> listener) {
+    this.kind = kind;
+    this.store = store;
+    this.loop = loop;
+    this.clock = clock;
+    this.log = log;
+    this.listener = listener;
+  }
+
+  void start() {
+    confirmedMs = clock.nowMs();
+    list();
+  }
+
+  /** Whether the kind has been listed once. */
+  boolean isListed() {
+    return isListed;
+  }
+
+  /** Revision up to which changes are known. */
+  long revision() {
+    return revision;
+  }
+
+  /** Last time at which a call failed; the distant past if none did. */
+  long troubledMs() {
+    return troubledMs;
+  }
+
+  private void list() {
+    store.list(kind, PlatformStore.Freshness.LINEARIZABLE, LIST_TIMEOUT_MS, this::onListed);
+  }
+
+  private void onListed(StoreReply<StoredObjects<T>> reply) {
+    StoredObjects<T> all = reply.valueOrNull();
+    if (all == null) {
+      retry(reply, this::list);
+      return;
+    }
+    confirmed();
+    revision = all.revision();
+    isListed = true;
+    listener.onAll(all);
+    watch();
+  }
+
+  private void watch() {
+    store.watch(kind, revision, WAIT_MS, WAIT_MS + WATCH_SLACK_MS, this::onWatched);
+  }
+
+  private void onWatched(StoreReply<StoredObjects<T>> reply) {
+    if (reply instanceof StoreReply.HistoryGone) {
+      log.write(LogEvent.WATCH_RESTARTED, "kind", kind.label(), "revision", revision);
+      list();
+      return;
+    }
+    StoredObjects<T> changes = reply.valueOrNull();
+    if (changes == null) {
+      retry(reply, this::watch);
+      return;
+    }
+    confirmed();
+    revision = Math.max(revision, changes.revision());
+    if (changes.objects().isEmpty()) {
+      watch();
+      return;
+    }
+    listener.onChanges(changes);
+    schedule(this::watch, REARM_MS);
+  }
+
+  private void confirmed() {
+    long nowMs = clock.nowMs();
+    if (isLost) {
+      log.write(LogEvent.PLATFORM_UP, "kind", kind.label(), "awayMs", nowMs - confirmedMs);
+      isLost = false;
+    }
+    confirmedMs = nowMs;
+    backoffMs = MIN_BACKOFF_MS;
+  }
+
+  private void retry(StoreReply<?> reply, Runnable call) {
+    troubledMs = clock.nowMs();
+    if (!isLost) {
+      isLost = true;
+      log.write(
+          LogEvent.PLATFORM_DOWN,
+          "kind",
+          kind.label(),
+          "reason",
+          reply.describe(),
+          "revision",
+          revision,
+          "ageMs",
+          troubledMs - confirmedMs);
+    }
+    long delayMs = backoffMs / 2 + ThreadLocalRandom.current().nextLong(backoffMs / 2 + 1);
+    backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
+    schedule(call, delayMs);
+  }
+
+  private void schedule(Runnable task, long delayMs) {
+    @Nullable Object unused = loop.schedule(task, delayMs, TimeUnit.MILLISECONDS);
+  }
+}
--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/SettingsReader.java
@@ -0,0 +1,119 @@
+package org.limpetring.entry;
+
+import com.fasterxml.jackson.core.json.JsonReadFeature;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.json.JsonMapper;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.UnknownHostException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import org.limpetring.entry.model.EntrySettings;
+
+/** Reads and checks the settings file, JSON with comments. */
+public final class SettingsReader {
+
+  private static final int MS_PER_S = 1_000;
+  private static final JsonMapper MAPPER =
+      JsonMapper.builder().enable(JsonReadFeature.ALLOW_JAVA_COMMENTS).build();
+
+  private SettingsReader() {}
+
+  /** The settings file is missing, unreadable or has a mistake. */
+  public static final class SettingsException extends Exception {
+    private static final long serialVersionUID = 1L;
+
+    SettingsException(String message) {
+      super(message);
+    }
+  }
+
+  /**
+   * Reads a file.
+   *
+   * @throws SettingsException naming the field at fault
+   */
+  public static EntrySettings read(Path file) throws SettingsException {
+    JsonNode root;
+    try {
+      root = MAPPER.readTree(Files.readAllBytes(file));
+    } catch (IOException failure) {
+      throw new SettingsException(file + ": " + failure.getMessage());
+    }
+    JsonNode bounds = root.path("bounds");
+    return new EntrySettings(
+        text(root, "daemonName"),
+        text(root, "failureDomain"),
+        names(root.path("failureDomains")),
+        address(root, "callerAddress"),
+        address(root, "readyAddress"),
+        address(root, "peerAddress"),
+        address(root, "metricsAddress"),
+        address(root, "storeAddress"),
+        root.path("isFirstStart").asBoolean(false),
+        (long) number(root, "heartbeatMs"),
+        (int) number(root, "maxDescriptors"),
+        new EntrySettings.Bounds(
+            (long) number(bounds, "leaveMs"),
+            (long) (number(bounds, "graceS") * MS_PER_S),
+            (long) number(bounds, "stallMs"),
+            number(bounds, "repeatRatio"),
+            number(bounds, "repeatExtra"),
+            (long) (number(bounds, "repeatWindowS") * MS_PER_S)));
+  }
+
+  private static String text(JsonNode node, String field) throws SettingsException {
+    JsonNode value = node.path(field);
+    if (!value.isTextual() || value.textValue().isEmpty()) {
+      throw new SettingsException(field + ": a text is needed");
+    }
+    return value.textValue();
+  }
+
+  private static double number(JsonNode node, String field) throws SettingsException {
+    JsonNode value = node.path(field);
+    if (!value.isNumber() || value.doubleValue() < 0) {
+      throw new SettingsException(field + ": a number of 0 or more is needed");
+    }
+    return value.doubleValue();
+  }
+
+  private static List<String> names(JsonNode node) {
+    List<String> names = new ArrayList<>();
+    if (node.isObject()) {
+      node.fieldNames().forEachRemaining(names::add);
+    } else {
+      node.forEach(item -> names.add(item.asText()));
+    }
+    return names;
+  }
+
+  private static InetSocketAddress address(JsonNode node, String field) throws SettingsException {
+    try {
+      return parseAddress(text(node, field));
+    } catch (IllegalArgumentException failure) {
+      throw new SettingsException(field + ": " + failure.getMessage());
+    }
+  }
+
+  /**
+   * Parses {@code IP:PORT}; never looks a name up.
+   *
+   * @throws IllegalArgumentException if the text is no IPv4 address with a port
+   */
+  public static InetSocketAddress parseAddress(String text) {
+    int colon = text.lastIndexOf(':');
+    if (colon <= 0 || !text.substring(0, colon).matches("\\d{1,3}(\\.\\d{1,3}){3}")) {
+      throw new IllegalArgumentException("IP:PORT is needed, not '" + text + "'");
+    }
+    try {
+      int port = Integer.parseInt(text.substring(colon + 1));
+      return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)), port);
+    } catch (UnknownHostException | NumberFormatException failure) {
+      throw new IllegalArgumentException("IP:PORT is needed, not '" + text + "'");
+    }
+  }
+}
--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/net/Channels.java
@@ -0,0 +1,26 @@
+package org.limpetring.entry.net;
+
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+
+/** Writes and closes whose failures show in the channel's own end. */
+final class Channels {
+
+  private Channels() {}
+
+  static void close(Channel channel) {
+    var unused = channel.close();
+  }
+
+  static void close(ChannelHandlerContext context) {
+    var unused = context.close();
+  }
+
+  static void write(ChannelHandlerContext context, Object message) {
+    var unused = context.write(message);
+  }
+
+  static void send(ChannelHandlerContext context, Object message) {
+    var unused = context.writeAndFlush(message);
+  }
+}
--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/net/HttpListener.java
@@ -0,0 +1,56 @@
+package org.limpetring.entry.net;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.http.HttpServerCodec;
+import java.net.InetSocketAddress;
+import java.util.function.IntSupplier;
+
+/** Listens for callers' connections. */
+public final class HttpListener {
+
+  private static final int MAX_LINE_BYTES = 8_192;
+  private static final int MAX_CHUNK_BYTES = 65_536;
+
+  /** A burst of new connections must not fill the queue, since a dropped opening costs seconds. */
+  private static final int BACKLOG = 1_024;
+
+  /** A caller that does not read holds at most this many bytes here. */
+  private static final WriteBufferWaterMark WATER_MARK = new WriteBufferWaterMark(16_384, 65_536);
+
+  private HttpListener() {}
+
+  /** Listens at an address; each connection's requests go to {@code handler}. */
+  public static ChannelFuture listen(
+      EventLoop loop,
+      InetSocketAddress address,
+      IntSupplier maxHeaderBytes,
+      CallerConnection.Handler handler) {
+    ServerBootstrap bootstrap =
+        new ServerBootstrap()
+            .group(loop)
+            .channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, BACKLOG)
+            .option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK, WATER_MARK);
+    SocketOptions.apply(bootstrap::childOption);
+    bootstrap.childHandler(
+        new ChannelInitializer<Channel>() {
+          @Override
+          protected void initChannel(Channel channel) {
+            channel
+                .pipeline()
+                .addLast(
+                    new HttpServerCodec(MAX_LINE_BYTES, maxHeaderBytes.getAsInt(), MAX_CHUNK_BYTES))
+                .addLast(new CallerConnection(handler));
+          }
+        });
+    return bootstrap.bind(address);
+  }
+}
--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/net/package-info.java
@@ -0,0 +1,5 @@
+/** HTTP connections on the event loop. */
+@NullMarked
+package org.limpetring.entry.net;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerLink.java
@@ -0,0 +1,84 @@
+package org.limpetring.entry.peer;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.DatagramPacket;
+import io.netty.channel.socket.nio.NioDatagramChannel;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.function.BiConsumer;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.base.LogEvent;
+import org.limpetring.entry.DecisionLog;
+
+/** Datagrams between daemons. */
+public final class PeerLink {
+
+  private final EventLoop loop;
+  private final DecisionLog log;
+  private final BiConsumer<PeerState, InetSocketAddress> listener;
+  private @Nullable Channel channel;
+
+  /** Link whose datagrams go to {@code listener} on the event loop. */
+  public PeerLink(
+      EventLoop loop, DecisionLog log, BiConsumer<PeerState, InetSocketAddress> listener) {
+    this.loop = loop;
+    this.log = log;
+    this.listener = listener;
+  }
+
+  /** Binds the link to an address. */
+  public void open(InetSocketAddress address) {
+    Bootstrap bootstrap =
+        new Bootstrap()
+            .group(loop)
+            .channel(NioDatagramChannel.class)
+            .handler(
+                new SimpleChannelInboundHandler<DatagramPacket>() {
+                  @Override
+                  protected void channelRead0(
+                      ChannelHandlerContext context, DatagramPacket packet) {
+                    receive(packet);
+                  }
+
+                  @Override
+                  public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+                    log.write(LogEvent.PEER_FRAME_REJECTED, "peer", "", "reason", cause.toString());
+                  }
+                });
+    channel = bootstrap.bind(address).channel();
+  }
+
+  private void receive(DatagramPacket packet) {
+    try {
+      listener.accept(PeerState.decode(ByteBufUtil.getBytes(packet.content())), packet.sender());
+    } catch (IOException failure) {
+      log.write(
+          LogEvent.PEER_FRAME_REJECTED,
+          "peer",
+          packet.sender(),
+          "reason",
+          String.valueOf(failure.getMessage()));
+    }
+  }
+
+  /** Sends a state to daemons. */
+  public void send(PeerState state, Iterable<InetSocketAddress> addresses) {
+    Channel open = channel;
+    if (open == null || !open.isActive()) {
+      return;
+    }
+    byte[] bytes = state.encode();
+    for (InetSocketAddress address : addresses) {
+      var unused =
+          open.write(
+              new DatagramPacket(Unpooled.wrappedBuffer(bytes), address), open.voidPromise());
+    }
+    open.flush();
+  }
+}
--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerState.java
@@ -0,0 +1,136 @@
+package org.limpetring.entry.peer;
+
+import com.google.protobuf.CodedInputStream;
+import com.google.protobuf.CodedOutputStream;
+import com.google.protobuf.WireFormat;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+
+/**
+ * Datagram in which a daemon tells the others of itself, in the protobuf wire format.
+ *
+ * @param sequence grows with each datagram of one life
+ * @param term the planner's term as the sender knows it
+ * @param isPlanner whether the sender plans
+ * @param isStopping whether the sender is about to end
+ * @param loads requests in progress by place
+ * @param endedPlaces places whose groups the sender, as planner, has lately taken apart
+ */
+public record PeerState(
+    String name,
+    String failureDomain,
+    long sequence,
+    long term,
+    boolean isPlanner,
+    boolean isStopping,
+    List<Load> loads,
+    List<String> endedPlaces) {
+
+  /** One place's load at the sender. */
+  public record Load(String placeKey, int inFlight, boolean isSuspected) {}
+
+  private static final int NAME = 1;
+  private static final int FAILURE_DOMAIN = 2;
+  private static final int SEQUENCE = 3;
+  private static final int TERM = 4;
+  private static final int IS_PLANNER = 5;
+  private static final int IS_STOPPING = 6;
+  private static final int LOAD = 7;
+  private static final int ENDED_PLACE = 8;
+  private static final int LOAD_KEY = 1;
+  private static final int LOAD_IN_FLIGHT = 2;
+  private static final int LOAD_SUSPECTED = 3;
+
+  /** Copies the lists. */
+  public PeerState {
+    loads = List.copyOf(loads);
+    endedPlaces = List.copyOf(endedPlaces);
+  }
+
+  /** The datagram's bytes. */
+  public byte[] encode() {
+    try {
+      ByteArrayOutputStream bytes = new ByteArrayOutputStream(256);
+      CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+      out.writeString(NAME, name);
+      out.writeString(FAILURE_DOMAIN, failureDomain);
+      out.writeInt64(SEQUENCE, sequence);
+      out.writeInt64(TERM, term);
+      out.writeBool(IS_PLANNER, isPlanner);
+      out.writeBool(IS_STOPPING, isStopping);
+      for (Load load : loads) {
+        out.writeByteArray(LOAD, encode(load));
+      }
+      for (String ended : endedPlaces) {
+        out.writeString(ENDED_PLACE, ended);
+      }
+      out.flush();
+      return bytes.toByteArray();
+    } catch (IOException failure) {
+      throw new IllegalStateException("memory can always be written", failure);
+    }
+  }
+
+  private static byte[] encode(Load load) throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream(64);
+    CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+    out.writeString(LOAD_KEY, load.placeKey());
+    out.writeInt32(LOAD_IN_FLIGHT, load.inFlight());
+    out.writeBool(LOAD_SUSPECTED, load.isSuspected());
+    out.flush();
+    return bytes.toByteArray();
+  }
+
+  /**
+   * Decodes a datagram.
+   *
+   * @throws IOException if the bytes are no such message
+   */
+  public static PeerState decode(byte[] bytes) throws IOException {
+    CodedInputStream in = CodedInputStream.newInstance(bytes);
+    String name = "";
+    String failureDomain = "";
+    long sequence = 0;
+    long term = 0;
+    boolean isPlanner = false;
+    boolean isStopping = false;
+    List<Load> loads = new ArrayList<>();
+    List<String> endedPlaces = new ArrayList<>();
+    for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+      switch (WireFormat.getTagFieldNumber(tag)) {
+        case NAME -> name = in.readString();
+        case FAILURE_DOMAIN -> failureDomain = in.readString();
+        case SEQUENCE -> sequence = in.readInt64();
+        case TERM -> term = in.readInt64();
+        case IS_PLANNER -> isPlanner = in.readBool();
+        case IS_STOPPING -> isStopping = in.readBool();
+        case LOAD -> loads.add(decodeLoad(in.readByteArray()));
+        case ENDED_PLACE -> endedPlaces.add(in.readString());
+        default -> in.skipField(tag);
+      }
+    }
+    if (name.isEmpty()) {
+      throw new IOException("no name");
+    }
+    return new PeerState(
+        name, failureDomain, sequence, term, isPlanner, isStopping, loads, endedPlaces);
+  }
+
+  private static Load decodeLoad(byte[] bytes) throws IOException {
+    CodedInputStream in = CodedInputStream.newInstance(bytes);
+    String key = "";
+    int inFlight = 0;
+    boolean isSuspected = false;
+    for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+      switch (WireFormat.getTagFieldNumber(tag)) {
+        case LOAD_KEY -> key = in.readString();
+        case LOAD_IN_FLIGHT -> inFlight = in.readInt32();
+        case LOAD_SUSPECTED -> isSuspected = in.readBool();
+        default -> in.skipField(tag);
+      }
+    }
+    return new Load(key, Math.max(0, inFlight), isSuspected);
+  }
+}
--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/peer/package-info.java
@@ -0,0 +1,5 @@
+/** Messages between daemons. */
+@NullMarked
+package org.limpetring.entry.peer;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/place/Admission.java
@@ -0,0 +1,116 @@
+package org.limpetring.entry.place;
+
+import java.util.List;
+import java.util.function.ToDoubleFunction;
+import org.jspecify.annotations.Nullable;
+
+/**
+ * Decides where a request runs, or whether it waits or is refused.
+ *
+ * <p>Load pattern: callers want more than whole groups can serve, for seconds or for the whole day.
+ * A request goes to the place whose first event is expected soonest. Without a free place it waits
+ * only while its first event can still be on time; after that it would hold a place for a late
+ * answer while others could still be served on time, so it is refused and told when places are
+ * expected. One that was refused before and came back waits longer, since it is late already.
+ */
+public final class Admission {
+
+  /** Part of the time left that a request which came back may wait for a place. */
+  private static final double RETURNED_WAIT_PART = 0.5;
+
+  /** Shortest pause that callers are asked to keep. */
+  private static final long MIN_RETRY_AFTER_MS = 100;
+
+  /** Longest pause; groups that broke serve again within about this time. */
+  private static final long MAX_RETRY_AFTER_MS = 1_500;
+
+  /** Expected pause where nothing serves at all. */
+  private static final long NOTHING_SERVES_MS = 1_000;
+
+  private Admission() {}
+
+  /**
+   * Decides on one request.
+   *
+   * @param places places that may run it
+   * @param ahead requests that wait before it
+   * @param daemons daemons that send to the same places
+   * @param extraMs added to the expected first event of a place, such as the way there
+   */
+  public static Verdict decide(
+      Demand demand,
+      List<Place> places,
+      int ahead,
+      int daemons,
+      ToDoubleFunction<Place> extraMs,
+      long nowMs) {
+    Place best = best(demand, places, extraMs, nowMs);
+    if (best != null && ahead == 0) {
+      return new Verdict.Send(best);
+    }
+    double waitMs = expectedWaitMs(places, ahead, daemons, nowMs);
+    long retryAfterMs = clamp(waitMs);
+    if (places.isEmpty()) {
+      return new Verdict.Refuse(NOTHING_SERVES_MS, "nothing serves");
+    }
+    if (demand.isReturned() || !demand.isOnTimeAt(nowMs)) {
+      long untilMs =
+          demand.arrivedMs()
+              + (long) ((demand.giveUpMs() - demand.arrivedMs()) * RETURNED_WAIT_PART);
+      boolean isHopeless = nowMs + waitMs > untilMs;
+      return isHopeless || !demand.isReturned()
+          ? new Verdict.Refuse(retryAfterMs, "no place in time")
+          : new Verdict.Wait(untilMs);
+    }
+    double firstEventMs = Double.MAX_VALUE;
+    for (Place place : places) {
+      firstEventMs = Math.min(firstEventMs, place.firstEventMs(demand.promptTokens(), nowMs));
+    }
+    boolean canBeOnTime = demand.isOnTimeAt(nowMs + waitMs + firstEventMs / 2);
+    return canBeOnTime
+        ? new Verdict.Wait(demand.onTimeUntilMs())
+        : new Verdict.Refuse(retryAfterMs, "no place on time");
+  }
+
+  /** The free place with the soonest first event, or null. */
+  public static @Nullable Place best(
+      Demand demand, List<Place> places, ToDoubleFunction<Place> extraMs, long nowMs) {
+    Place best = null;
+    double bestMs = Double.MAX_VALUE;
+    for (Place place : places) {
+      if (!place.isUsable(nowMs) || !place.hasRoom(nowMs)) {
+        continue;
+      }
+      double ms =
+          place.model() == null
+              ? place.inFlight() / (double) place.slots() + extraMs.applyAsDouble(place) / 1_000
+              : place.firstEventMs(demand.promptTokens(), nowMs)
+                  + extraMs.applyAsDouble(place)
+                  // streams slow each other down: of two equal places the emptier one
+                  + place.inFlight();
+      if (ms < bestMs) {
+        bestMs = ms;
+        best = place;
+      }
+    }
+    return best;
+  }
+
+  /** Time until a place frees up for a request behind {@code ahead} others of this daemon. */
+  private static double expectedWaitMs(List<Place> places, int ahead, int daemons, long nowMs) {
+    double perMs = 0;
+    for (Place place : places) {
+      if (place.isUsable(nowMs) && place.model() != null) {
+        perMs += place.slots() / Math.max(1, place.runMs(nowMs));
+      }
+    }
+    if (perMs == 0) {
+      return NOTHING_SERVES_MS;
+    }
+    return (ahead + 1) * Math.max(1, daemons) / perMs / 2;
+  }
+
+  private static long clamp(double waitMs) {
+    return (long) Math.min(MAX_RETRY_AFTER_MS, Math.max(MIN_RETRY_AFTER_MS, waitMs));
+  }
+}
--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/place/Demand.java
@@ -0,0 +1,25 @@
+package org.limpetring.entry.place;
+
+/**
+ * What admission needs to know of a waiting request.
+ *
+ * @param rank 0 goes first
+ * @param promptTokens tokens to read
+ * @param onTimeUntilMs latest arrival of the first event that counts as on time
+ * @param giveUpMs when the caller or the route gives up
+ * @param isReturned whether the caller was refused before and came back
+ * @param arrivedMs when it came
+ */
+public record Demand(
+    int rank,
+    int promptTokens,
+    long onTimeUntilMs,
+    long giveUpMs,
+    boolean isReturned,
+    long arrivedMs) {
+
+  /** Whether an answer that starts at that time is on time. */
+  public boolean isOnTimeAt(double startMs) {
+    return startMs <= onTimeUntilMs;
+  }
+}
--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/place/package-info.java
@@ -0,0 +1,5 @@
+/** Decides when and where a request runs, waits or is refused. */
+@NullMarked
+package org.limpetring.entry.place;
+
+import org.jspecify.annotations.NullMarked;
--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/port/package-info.java
@@ -0,0 +1,5 @@
+/** What the core needs of the platform; implemented by an adapter. */
+@NullMarked
+package org.limpetring.entry.port;
+
+import org.jspecify.annotations.NullMarked;
--- a/limpet-fleet/src/main/java/org/limpetring/fleet/config/JoinRead.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/config/JoinRead.java
@@ -2,7 +2,7 @@
 
 import java.util.List;
 import org.jspecify.annotations.Nullable;
-import org.limpetring.platform.StoredObject;
+import org.limpetring.store.StoredObject;
 
 /** Result of reading everything that a join needs. */
 public sealed interface JoinRead {
--- a/limpet-fleet/src/main/java/org/limpetring/fleet/config/SourceJoiner.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/config/SourceJoiner.java
@@ -6,7 +6,7 @@
 import org.limpetring.base.FailureDomain;
 import org.limpetring.base.HostId;
 import org.limpetring.base.Names;
-import org.limpetring.platform.StoredObject;
+import org.limpetring.store.StoredObject;
 import org.limpetring.tables.AcceptedConfig;
 import org.limpetring.tables.Checked;
 import org.limpetring.tables.ConfigKeys;
--- a/limpet-fleet/src/main/java/org/limpetring/fleet/node/FleetMachine.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/node/FleetMachine.java
@@ -26,7 +26,7 @@
 import org.limpetring.fleet.spread.SpreadEffect;
 import org.limpetring.fleet.spread.SpreadMachine;
 import org.limpetring.fleet.spread.TopicState;
-import org.limpetring.platform.WriteResult;
+import org.limpetring.store.WriteResult;
 import org.limpetring.tables.ConfigKeys;
 
 /**
--- a/limpet-fleet/src/main/java/org/limpetring/fleet/node/FleetNode.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/node/FleetNode.java
@@ -28,7 +28,7 @@
 import org.limpetring.peer.PeerAddress;
 import org.limpetring.peer.PeerTransport;
 import org.limpetring.peer.proto.Envelope;
-import org.limpetring.platform.ObjectStore;
+import org.limpetring.store.ObjectStore;
 
 /**
  * Drives the fleet machine of one daemon: one thread for decisions, a few for platform calls.
--- a/limpet-fleet/src/main/java/org/limpetring/fleet/node/Gzip.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/node/Gzip.java
@@ -5,7 +5,7 @@
 import java.io.IOException;
 import java.util.zip.GZIPInputStream;
 import java.util.zip.GZIPOutputStream;
-import org.limpetring.platform.ObjectStore;
+import org.limpetring.store.ObjectStore;
 
 /** Compresses topic values for the way between daemons. */
 final class Gzip {
--- a/limpet-fleet/src/main/java/org/limpetring/fleet/node/PlatformCalls.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/node/PlatformCalls.java
@@ -9,11 +9,11 @@
 import org.limpetring.fleet.roster.RosterEffect;
 import org.limpetring.fleet.roster.RosterMachine;
 import org.limpetring.fleet.roster.RosterRecord;
-import org.limpetring.platform.ListResult;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.StoredObject;
-import org.limpetring.platform.WriteResult;
+import org.limpetring.store.ListResult;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.StoredObject;
+import org.limpetring.store.WriteResult;
 import org.limpetring.tables.ConfigKeys;
 
 /** Makes the platform calls that a fleet machine asks for; blocks until they are answered. */
--- a/limpet-fleet/src/main/java/org/limpetring/fleet/node/PlatformWatches.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/node/PlatformWatches.java
@@ -9,13 +9,13 @@
 import java.util.function.Consumer;
 import org.limpetring.base.Clock;
 import org.limpetring.fleet.roster.RosterMachine;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.StoredObject;
-import org.limpetring.platform.WatchResult;
-import org.limpetring.platform.client.Backoff;
-import org.limpetring.platform.client.ObjectListener;
-import org.limpetring.platform.client.ObjectWatcher;
-import org.limpetring.platform.client.Pause;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.StoredObject;
+import org.limpetring.store.WatchResult;
+import org.limpetring.store.client.Backoff;
+import org.limpetring.store.client.ObjectListener;
+import org.limpetring.store.client.ObjectWatcher;
+import org.limpetring.store.client.Pause;
 import org.limpetring.tables.ConfigKeys;
 
 /** Runs the platform watches that a fleet machine asks for, one thread each. */
--- a/limpet-fleet/src/main/java/org/limpetring/fleet/roster/RosterMachine.java
+++ b/limpet-fleet/src/main/java/org/limpetring/fleet/roster/RosterMachine.java
@@ -11,7 +11,7 @@
 import org.limpetring.base.Rendezvous;
 import org.limpetring.fleet.DaemonEntry;
 import org.limpetring.fleet.Roster;
-import org.limpetring.platform.WriteResult;
+import org.limpetring.store.WriteResult;
 
 /**
  * Decides when this daemon writes the roster and what it writes.
--- a/limpet-fleet/src/test/java/org/limpetring/fleet/node/FleetNodeTest.java
+++ b/limpet-fleet/src/test/java/org/limpetring/fleet/node/FleetNodeTest.java
@@ -24,7 +24,7 @@
 import org.limpetring.peer.PeerHandler;
 import org.limpetring.peer.PeerTransport;
 import org.limpetring.peer.proto.Envelope;
-import org.limpetring.platform.memory.MemoryObjectStore;
+import org.limpetring.store.memory.MemoryObjectStore;
 import org.limpetring.tables.ConfigKeys;
 
 /** Daemons with their real threads over a store and a network in memory. */
--- a/limpet-fleet/src/test/java/org/limpetring/fleet/node/FleetWorld.java
+++ b/limpet-fleet/src/test/java/org/limpetring/fleet/node/FleetWorld.java
@@ -17,11 +17,11 @@
 import org.limpetring.fleet.config.NumberedFormat;
 import org.limpetring.fleet.roster.RosterMachine;
 import org.limpetring.peer.proto.Envelope;
-import org.limpetring.platform.ListResult;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.StoredObject;
-import org.limpetring.platform.memory.FaultyObjectStore;
-import org.limpetring.platform.memory.MemoryObjectStore;
+import org.limpetring.store.ListResult;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.StoredObject;
+import org.limpetring.store.memory.FaultyObjectStore;
+import org.limpetring.store.memory.MemoryObjectStore;
 import org.limpetring.tables.ConfigKeys;
 
 /** Whole daemons in simulated time over one store and a network that can be cut. */
--- a/limpet-fleet/src/test/java/org/limpetring/fleet/roster/RosterWorld.java
+++ b/limpet-fleet/src/test/java/org/limpetring/fleet/roster/RosterWorld.java
@@ -12,10 +12,10 @@
 import org.limpetring.base.DaemonId;
 import org.limpetring.base.FailureDomain;
 import org.limpetring.fleet.DaemonEntry;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.WriteResult;
-import org.limpetring.platform.memory.FaultyObjectStore;
-import org.limpetring.platform.memory.MemoryObjectStore;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.WriteResult;
+import org.limpetring.store.memory.FaultyObjectStore;
+import org.limpetring.store.memory.MemoryObjectStore;
 
 /** Roster machines around one store; the oracle is the set of daemons that should be listed. */
 final class RosterWorld {
--- a/limpet-groups/src/main/java/org/limpetring/groups/control/GroupController.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/control/GroupController.java
@@ -33,8 +33,8 @@
 import org.limpetring.groups.monitor.ObservedGroup;
 import org.limpetring.groups.monitor.ReportBook;
 import org.limpetring.groups.monitor.Target;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.StoredObject;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.StoredObject;
 import org.limpetring.tables.AcceptedConfig;
 
 /**
--- a/limpet-groups/src/main/java/org/limpetring/groups/control/GroupInputs.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/control/GroupInputs.java
@@ -3,8 +3,8 @@
 import java.util.List;
 import org.limpetring.base.FabricDomain;
 import org.limpetring.base.HostId;
-import org.limpetring.platform.HostEntry;
-import org.limpetring.platform.WeightStore;
+import org.limpetring.store.HostEntry;
+import org.limpetring.store.WeightStore;
 import org.limpetring.tables.AcceptedConfig;
 
 /** What the controller asks of the rest of the daemon; each call answers from memory. */
--- a/limpet-groups/src/main/java/org/limpetring/groups/control/PlanStore.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/control/PlanStore.java
@@ -10,11 +10,11 @@
 import org.limpetring.groups.Plan;
 import org.limpetring.groups.PlanCodec;
 import org.limpetring.groups.monitor.GroupMetrics;
-import org.limpetring.platform.ListResult;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.StoredObject;
-import org.limpetring.platform.WriteResult;
+import org.limpetring.store.ListResult;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.StoredObject;
+import org.limpetring.store.WriteResult;
 
 /** Reads and conditionally writes plans; settles a lost answer by reading back. */
 final class PlanStore {
--- a/limpet-groups/src/main/java/org/limpetring/groups/control/Topology.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/control/Topology.java
@@ -15,7 +15,7 @@
 import org.limpetring.groups.PlannedGroup;
 import org.limpetring.groups.monitor.MergedGroup;
 import org.limpetring.groups.monitor.Target;
-import org.limpetring.platform.HostEntry;
+import org.limpetring.store.HostEntry;
 import org.limpetring.tables.AcceptedConfig;
 import org.limpetring.tables.Pool;
 
--- a/limpet-groups/src/main/java/org/limpetring/groups/plan/DomainHosts.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/DomainHosts.java
@@ -7,7 +7,7 @@
 import org.limpetring.base.HostId;
 import org.limpetring.groups.MemberReport;
 import org.limpetring.groups.monitor.MemberStatus;
-import org.limpetring.platform.HostEntry;
+import org.limpetring.store.HostEntry;
 
 /** The hosts of one fabric domain as the planner judges them at one moment. */
 final class DomainHosts {
--- a/limpet-groups/src/main/java/org/limpetring/groups/plan/PlannerInput.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/PlannerInput.java
@@ -5,7 +5,7 @@
 import org.limpetring.base.GroupId;
 import org.limpetring.groups.Plan;
 import org.limpetring.groups.monitor.ReportBook;
-import org.limpetring.platform.HostEntry;
+import org.limpetring.store.HostEntry;
 import org.limpetring.tables.PoolTable;
 import org.limpetring.tables.ServiceMarks;
 
--- a/limpet-groups/src/main/java/org/limpetring/groups/plan/PoolQuota.java
+++ b/limpet-groups/src/main/java/org/limpetring/groups/plan/PoolQuota.java
@@ -11,7 +11,7 @@
 import org.limpetring.base.FabricDomain;
 import org.limpetring.base.FailureDomain;
 import org.limpetring.base.HostId;
-import org.limpetring.platform.HostEntry;
+import org.limpetring.store.HostEntry;
 import org.limpetring.tables.Pool;
 import org.limpetring.tables.ServiceMarks;
 
--- a/limpet-groups/src/test/java/org/limpetring/groups/world/FakeDaemon.java
+++ b/limpet-groups/src/test/java/org/limpetring/groups/world/FakeDaemon.java
@@ -15,9 +15,9 @@
 import org.limpetring.groups.control.GroupController;
 import org.limpetring.groups.control.GroupInputs;
 import org.limpetring.groups.monitor.Observation;
-import org.limpetring.platform.HostEntry;
-import org.limpetring.platform.WeightStore;
-import org.limpetring.platform.memory.FaultyObjectStore;
+import org.limpetring.store.HostEntry;
+import org.limpetring.store.WeightStore;
+import org.limpetring.store.memory.FaultyObjectStore;
 import org.limpetring.tables.AcceptedConfig;
 
 /** One daemon: a real controller between a faulty store and the fake engines. */
--- a/limpet-groups/src/test/java/org/limpetring/groups/world/FakeWeights.java
+++ b/limpet-groups/src/test/java/org/limpetring/groups/world/FakeWeights.java
@@ -1,7 +1,7 @@
 package org.limpetring.groups.world;
 
 import java.util.List;
-import org.limpetring.platform.WeightStore;
+import org.limpetring.store.WeightStore;
 
 /** Weight store whose rate is shared by the hosts that load. */
 final class FakeWeights {
--- a/limpet-groups/src/test/java/org/limpetring/groups/world/FormationRun.java
+++ b/limpet-groups/src/test/java/org/limpetring/groups/world/FormationRun.java
@@ -13,7 +13,7 @@
 import org.limpetring.base.HostId;
 import org.limpetring.groups.PlannedGroup;
 import org.limpetring.groups.plan.PlannerPolicy;
-import org.limpetring.platform.HostEntry;
+import org.limpetring.store.HostEntry;
 import org.limpetring.tables.ServiceMarks;
 
 /**
--- a/limpet-groups/src/test/java/org/limpetring/groups/world/PlannerCostRun.java
+++ b/limpet-groups/src/test/java/org/limpetring/groups/world/PlannerCostRun.java
@@ -15,8 +15,8 @@
 import org.limpetring.groups.plan.GroupPlanner;
 import org.limpetring.groups.plan.PlannerInput;
 import org.limpetring.groups.plan.PlannerPolicy;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.ReadResult;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.ReadResult;
 
 /** Measures the processor time of one decision of the planner for fleets of several sizes. */
 public final class PlannerCostRun {
--- a/limpet-groups/src/test/java/org/limpetring/groups/world/WorldActions.java
+++ b/limpet-groups/src/test/java/org/limpetring/groups/world/WorldActions.java
@@ -9,7 +9,7 @@
 import org.limpetring.base.FailureDomain;
 import org.limpetring.base.HostId;
 import org.limpetring.groups.PlannedGroup;
-import org.limpetring.platform.HostEntry;
+import org.limpetring.store.HostEntry;
 import org.limpetring.tables.ServiceMarks;
 
 /** What can happen to a world; each takes a number that chooses the victim. */
--- a/limpet-load/src/main/java/org/limpetring/load/LimpetLoad.java
+++ b/limpet-load/src/main/java/org/limpetring/load/LimpetLoad.java
@@ -17,12 +17,12 @@
 import org.limpetring.load.report.Report;
 import org.limpetring.load.report.TextReport;
 import org.limpetring.load.schedule.Experiment;
-import org.limpetring.platform.HostList;
-import org.limpetring.platform.http.HttpHostList;
-import org.limpetring.platform.http.HttpObjectStore;
-import org.limpetring.platform.http.HttpPlatformClient;
-import org.limpetring.platform.http.PlatformSettings;
 import org.limpetring.standin.http.Json;
+import org.limpetring.store.HostList;
+import org.limpetring.store.http.HttpHostList;
+import org.limpetring.store.http.HttpObjectStore;
+import org.limpetring.store.http.HttpPlatformClient;
+import org.limpetring.store.http.PlatformSettings;
 
 /** Entry point: runs an experiment and writes its report as JSON, text and a plot. */
 public final class LimpetLoad {
--- a/limpet-load/src/main/java/org/limpetring/load/StepRunner.java
+++ b/limpet-load/src/main/java/org/limpetring/load/StepRunner.java
@@ -9,10 +9,10 @@
 import org.limpetring.load.check.OutWindow;
 import org.limpetring.load.report.Report.Mark;
 import org.limpetring.load.schedule.Experiment;
-import org.limpetring.platform.HostEntry;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.WriteResult;
+import org.limpetring.store.HostEntry;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.WriteResult;
 import org.limpetring.tables.ConfigKeys;
 
 /** Performs faults and operators' acts, and keeps what was out of service when. */
--- a/limpet-load/src/test/java/org/limpetring/load/ProcessCluster.java
+++ b/limpet-load/src/test/java/org/limpetring/load/ProcessCluster.java
@@ -17,10 +17,6 @@
 import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import org.awaitility.Awaitility;
-import org.limpetring.platform.WriteResult;
-import org.limpetring.platform.http.HttpObjectStore;
-import org.limpetring.platform.http.HttpPlatformClient;
-import org.limpetring.platform.http.PlatformSettings;
 import org.limpetring.standin.Standin;
 import org.limpetring.standin.StandinSettings;
 import org.limpetring.standin.StandinSettings.Engine;
@@ -30,6 +26,10 @@
 import org.limpetring.standin.StandinSettings.Socket;
 import org.limpetring.standin.StandinSettings.Weights;
 import org.limpetring.standin.http.Json;
+import org.limpetring.store.WriteResult;
+import org.limpetring.store.http.HttpObjectStore;
+import org.limpetring.store.http.HttpPlatformClient;
+import org.limpetring.store.http.PlatformSettings;
 import org.limpetring.tables.ConfigKeys;
 
 /** Three daemons as processes, with stand-ins of two failure domains in the test's own process. */
--- a/limpet-peer/src/main/java/org/limpetring/peer/PeerTlsContexts.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/PeerTlsContexts.java
@@ -14,7 +14,7 @@
 import java.util.Arrays;
 import org.jboss.logging.Logger;
 import org.limpetring.base.LogEvent;
-import org.limpetring.platform.http.PemContext;
+import org.limpetring.store.http.PemContext;
 
 /**
  * TLS contexts of the current files. New connections use the newest readable files; open
--- a/limpet-peer/src/main/java/org/limpetring/peer/relay/PlatformRelay.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/relay/PlatformRelay.java
@@ -3,7 +3,7 @@
 import org.limpetring.peer.proto.PlatformRelayRequest;
 import org.limpetring.peer.proto.PlatformRelayResponse;
 import org.limpetring.peer.proto.PlatformRelayResponse.Result;
-import org.limpetring.platform.ObjectStore;
+import org.limpetring.store.ObjectStore;
 
 /**
  * Carries calls to the platform for peers over this daemon's own way, never over a third daemon.
--- a/limpet-peer/src/main/java/org/limpetring/peer/relay/RelayCodec.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/relay/RelayCodec.java
@@ -4,11 +4,11 @@
 import org.limpetring.peer.proto.PlatformRelayResponse;
 import org.limpetring.peer.proto.PlatformRelayResponse.Result;
 import org.limpetring.peer.proto.RelayedObject;
-import org.limpetring.platform.ListResult;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.StoredObject;
-import org.limpetring.platform.WatchResult;
-import org.limpetring.platform.WriteResult;
+import org.limpetring.store.ListResult;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.StoredObject;
+import org.limpetring.store.WatchResult;
+import org.limpetring.store.WriteResult;
 
 /** Translates results of the platform to relay messages and back. */
 final class RelayCodec {
--- a/limpet-peer/src/main/java/org/limpetring/peer/relay/RelayingObjectStore.java
+++ b/limpet-peer/src/main/java/org/limpetring/peer/relay/RelayingObjectStore.java
@@ -11,11 +11,11 @@
 import org.limpetring.peer.proto.PlatformRelayRequest;
 import org.limpetring.peer.proto.PlatformRelayRequest.Kind;
 import org.limpetring.peer.proto.PlatformRelayResponse;
-import org.limpetring.platform.ListResult;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.WatchResult;
-import org.limpetring.platform.WriteResult;
+import org.limpetring.store.ListResult;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.WatchResult;
+import org.limpetring.store.WriteResult;
 
 /**
  * Object store that goes to the platform directly and, where this fails, through a live peer.
--- a/limpet-peer/src/test/java/org/limpetring/peer/relay/RelayingObjectStoreTest.java
+++ b/limpet-peer/src/test/java/org/limpetring/peer/relay/RelayingObjectStoreTest.java
@@ -14,16 +14,16 @@
 import org.limpetring.peer.PeerAddress;
 import org.limpetring.peer.PeerSettings;
 import org.limpetring.peer.proto.Envelope;
-import org.limpetring.platform.ListResult;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.StoredObject;
-import org.limpetring.platform.WatchResult;
-import org.limpetring.platform.WriteResult;
-import org.limpetring.platform.client.ConditionalWriter;
-import org.limpetring.platform.client.Pause;
-import org.limpetring.platform.client.UpdateResult;
-import org.limpetring.platform.memory.FaultyObjectStore;
-import org.limpetring.platform.memory.MemoryObjectStore;
+import org.limpetring.store.ListResult;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.StoredObject;
+import org.limpetring.store.WatchResult;
+import org.limpetring.store.WriteResult;
+import org.limpetring.store.client.ConditionalWriter;
+import org.limpetring.store.client.Pause;
+import org.limpetring.store.client.UpdateResult;
+import org.limpetring.store.memory.FaultyObjectStore;
+import org.limpetring.store.memory.MemoryObjectStore;
 
 class RelayingObjectStoreTest {
 
--- a/limpet-routing/src/main/java/org/limpetring/routing/claim/ClaimShardRunner.java
+++ b/limpet-routing/src/main/java/org/limpetring/routing/claim/ClaimShardRunner.java
@@ -13,9 +13,9 @@
 import org.limpetring.base.Clock;
 import org.limpetring.base.LogEvent;
 import org.limpetring.base.ResultCode;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.WriteResult;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.WriteResult;
 
 /**
  * Runs the machine of one shard of claims over the platform, in a thread of its own.
--- a/limpet-routing/src/test/java/org/limpetring/routing/claim/ClaimMachineTest.java
+++ b/limpet-routing/src/test/java/org/limpetring/routing/claim/ClaimMachineTest.java
@@ -11,7 +11,7 @@
 import org.junit.jupiter.api.Test;
 import org.limpetring.base.CallerId;
 import org.limpetring.base.ResultCode;
-import org.limpetring.platform.ObjectStore;
+import org.limpetring.store.ObjectStore;
 
 final class ClaimMachineTest {
 
--- a/limpet-routing/src/test/java/org/limpetring/routing/claim/ClaimShardRunnerTest.java
+++ b/limpet-routing/src/test/java/org/limpetring/routing/claim/ClaimShardRunnerTest.java
@@ -9,8 +9,8 @@
 import org.junit.jupiter.api.Test;
 import org.limpetring.base.Clock;
 import org.limpetring.base.ResultCode;
-import org.limpetring.platform.memory.FaultyObjectStore;
-import org.limpetring.platform.memory.MemoryObjectStore;
+import org.limpetring.store.memory.FaultyObjectStore;
+import org.limpetring.store.memory.MemoryObjectStore;
 
 final class ClaimShardRunnerTest {
 
--- a/limpet-standin/src/main/java/org/limpetring/standin/Standin.java
+++ b/limpet-standin/src/main/java/org/limpetring/standin/Standin.java
@@ -6,8 +6,6 @@
 import java.util.List;
 import java.util.Map;
 import org.jspecify.annotations.Nullable;
-import org.limpetring.platform.WeightStore.ModelWeights;
-import org.limpetring.platform.memory.MemoryObjectStore;
 import org.limpetring.standin.engine.EngineFleet;
 import org.limpetring.standin.engine.EngineService;
 import org.limpetring.standin.engine.WeightLoader;
@@ -18,6 +16,8 @@
 import org.limpetring.standin.platform.HostCatalogue;
 import org.limpetring.standin.platform.PlatformService;
 import org.limpetring.standin.platform.PlatformService.WeightsAnswer;
+import org.limpetring.store.WeightStore.ModelWeights;
+import org.limpetring.store.memory.MemoryObjectStore;
 
 /** All stand-ins of one process, wired from the settings. */
 public final class Standin implements AutoCloseable {
--- a/limpet-standin/src/main/java/org/limpetring/standin/platform/PlatformService.java
+++ b/limpet-standin/src/main/java/org/limpetring/standin/platform/PlatformService.java
@@ -5,16 +5,16 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicLong;
-import org.limpetring.platform.ListResult;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.StoredObject;
-import org.limpetring.platform.WatchResult;
-import org.limpetring.platform.WeightStore.ModelWeights;
-import org.limpetring.platform.WriteResult;
 import org.limpetring.standin.host.SimulatedHost;
 import org.limpetring.standin.http.Exchange;
 import org.limpetring.standin.http.Service;
+import org.limpetring.store.ListResult;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.StoredObject;
+import org.limpetring.store.WatchResult;
+import org.limpetring.store.WeightStore.ModelWeights;
+import org.limpetring.store.WriteResult;
 
 /** Serves the object API, the list of hosts and the weights over HTTP. */
 public final class PlatformService implements Service {
--- a/limpet-platform/src/main/java/org/limpetring/platform/HostEntry.java
+++ b/limpet-store/src/main/java/org/limpetring/store/HostEntry.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform;
+package org.limpetring.store;
 
 import org.limpetring.base.FabricDomain;
 import org.limpetring.base.FailureDomain;
--- a/limpet-platform/src/main/java/org/limpetring/platform/ReadResult.java
+++ b/limpet-store/src/main/java/org/limpetring/store/ReadResult.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform;
+package org.limpetring.store;
 
 /** Result of reading one object. */
 public sealed interface ReadResult {
--- a/limpet-platform/src/main/java/org/limpetring/platform/WeightStore.java
+++ b/limpet-store/src/main/java/org/limpetring/store/WeightStore.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform;
+package org.limpetring.store;
 
 import java.util.List;
 
--- a/limpet-platform/src/main/java/org/limpetring/platform/WriteResult.java
+++ b/limpet-store/src/main/java/org/limpetring/store/WriteResult.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform;
+package org.limpetring.store;
 
 /** Result of a conditional write. */
 public sealed interface WriteResult {
--- a/limpet-platform/src/main/java/org/limpetring/platform/client/BudgetedObjectStore.java
+++ b/limpet-store/src/main/java/org/limpetring/store/client/BudgetedObjectStore.java
@@ -1,14 +1,14 @@
-package org.limpetring.platform.client;
+package org.limpetring.store.client;
 
 import org.jboss.logging.Logger;
 import org.limpetring.base.Clock;
 import org.limpetring.base.LogEvent;
 import org.limpetring.base.Metrics;
-import org.limpetring.platform.ListResult;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.WatchResult;
-import org.limpetring.platform.WriteResult;
+import org.limpetring.store.ListResult;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.WatchResult;
+import org.limpetring.store.WriteResult;
 
 /**
  * Object store whose calls share one budget. A call waits for its turn; one that would wait too
--- a/limpet-platform/src/main/java/org/limpetring/platform/client/CallBudget.java
+++ b/limpet-store/src/main/java/org/limpetring/store/client/CallBudget.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.client;
+package org.limpetring.store.client;
 
 /**
  * Token bucket that decides when a call to the platform may start.
--- a/limpet-platform/src/main/java/org/limpetring/platform/client/ConditionalUpdate.java
+++ b/limpet-store/src/main/java/org/limpetring/store/client/ConditionalUpdate.java
@@ -1,10 +1,10 @@
-package org.limpetring.platform.client;
+package org.limpetring.store.client;
 
 import java.util.function.Supplier;
 import org.jspecify.annotations.Nullable;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.StoredObject;
-import org.limpetring.platform.WriteResult;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.StoredObject;
+import org.limpetring.store.WriteResult;
 
 /**
  * Decides the steps of one read-modify-write of an object that is never deleted.
--- a/limpet-platform/src/main/java/org/limpetring/platform/client/ConditionalWriter.java
+++ b/limpet-store/src/main/java/org/limpetring/store/client/ConditionalWriter.java
@@ -1,9 +1,9 @@
-package org.limpetring.platform.client;
+package org.limpetring.store.client;
 
 import java.util.concurrent.atomic.AtomicLong;
 import org.limpetring.base.Clock;
 import org.limpetring.base.Metrics;
-import org.limpetring.platform.ObjectStore;
+import org.limpetring.store.ObjectStore;
 
 /**
  * Updates objects by conditional writes that take effect at most once, also when answers are lost.
--- a/limpet-platform/src/main/java/org/limpetring/platform/client/ObjectChange.java
+++ b/limpet-store/src/main/java/org/limpetring/store/client/ObjectChange.java
@@ -1,7 +1,7 @@
-package org.limpetring.platform.client;
+package org.limpetring.store.client;
 
 import org.jspecify.annotations.Nullable;
-import org.limpetring.platform.StoredObject;
+import org.limpetring.store.StoredObject;
 
 /** Change of one object, computed anew for each version that it is tried on. */
 @FunctionalInterface
--- a/limpet-platform/src/main/java/org/limpetring/platform/client/ObjectListener.java
+++ b/limpet-store/src/main/java/org/limpetring/store/client/ObjectListener.java
@@ -1,8 +1,8 @@
-package org.limpetring.platform.client;
+package org.limpetring.store.client;
 
 import java.util.List;
-import org.limpetring.platform.StoredObject;
-import org.limpetring.platform.WatchResult;
+import org.limpetring.store.StoredObject;
+import org.limpetring.store.WatchResult;
 
 /** Receives what an {@link ObjectWatcher} learns, on the watcher's thread. */
 public interface ObjectListener {
--- a/limpet-platform/src/main/java/org/limpetring/platform/client/ObjectWatcher.java
+++ b/limpet-store/src/main/java/org/limpetring/store/client/ObjectWatcher.java
@@ -1,11 +1,11 @@
-package org.limpetring.platform.client;
+package org.limpetring.store.client;
 
 import org.jboss.logging.Logger;
 import org.limpetring.base.Clock;
 import org.limpetring.base.LogEvent;
-import org.limpetring.platform.ListResult;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.WatchResult;
+import org.limpetring.store.ListResult;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.WatchResult;
 
 /**
  * Follows the objects under one prefix on a thread of its own.
--- a/limpet-platform/src/main/java/org/limpetring/platform/client/Pause.java
+++ b/limpet-store/src/main/java/org/limpetring/store/client/Pause.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.client;
+package org.limpetring.store.client;
 
 /** Way to wait, so that tests move a manual clock instead. */
 @FunctionalInterface
--- a/limpet-platform/src/main/java/org/limpetring/platform/client/StampedJson.java
+++ b/limpet-store/src/main/java/org/limpetring/store/client/StampedJson.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.client;
+package org.limpetring.store.client;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/limpet-platform/src/main/java/org/limpetring/platform/client/UpdateResult.java
+++ b/limpet-store/src/main/java/org/limpetring/store/client/UpdateResult.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.client;
+package org.limpetring.store.client;
 
 /** Result of an update by {@link ConditionalWriter}. */
 public sealed interface UpdateResult {
--- a/limpet-platform/src/main/java/org/limpetring/platform/client/WriteStamps.java
+++ b/limpet-store/src/main/java/org/limpetring/store/client/WriteStamps.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.client;
+package org.limpetring.store.client;
 
 import java.util.ArrayList;
 import java.util.List;
--- a/limpet-platform/src/main/java/org/limpetring/platform/http/HttpHostList.java
+++ b/limpet-store/src/main/java/org/limpetring/store/http/HttpHostList.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.http;
+package org.limpetring.store.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
@@ -7,8 +7,8 @@
 import org.limpetring.base.FabricDomain;
 import org.limpetring.base.FailureDomain;
 import org.limpetring.base.HostId;
-import org.limpetring.platform.HostEntry;
-import org.limpetring.platform.HostList;
+import org.limpetring.store.HostEntry;
+import org.limpetring.store.HostList;
 
 /** Host list behind the platform's HTTP interface; a list with one bad entry is refused whole. */
 public final class HttpHostList implements HostList {
--- a/limpet-platform/src/main/java/org/limpetring/platform/http/HttpObjectStore.java
+++ b/limpet-store/src/main/java/org/limpetring/store/http/HttpObjectStore.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.http;
+package org.limpetring.store.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.net.URI;
@@ -11,12 +11,12 @@
 import org.apache.hc.client5.http.classic.methods.HttpPut;
 import org.apache.hc.core5.http.ContentType;
 import org.apache.hc.core5.http.io.entity.ByteArrayEntity;
-import org.limpetring.platform.ListResult;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.StoredObject;
-import org.limpetring.platform.WatchResult;
-import org.limpetring.platform.WriteResult;
+import org.limpetring.store.ListResult;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.StoredObject;
+import org.limpetring.store.WatchResult;
+import org.limpetring.store.WriteResult;
 
 /** Object store behind the platform's HTTP interface. */
 public final class HttpObjectStore implements ObjectStore {
--- a/limpet-platform/src/main/java/org/limpetring/platform/http/HttpPlatformClient.java
+++ b/limpet-store/src/main/java/org/limpetring/store/http/HttpPlatformClient.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.http;
+package org.limpetring.store.http;
 
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.JsonNode;
--- a/limpet-platform/src/main/java/org/limpetring/platform/http/HttpWeightStore.java
+++ b/limpet-store/src/main/java/org/limpetring/store/http/HttpWeightStore.java
@@ -1,10 +1,10 @@
-package org.limpetring.platform.http;
+package org.limpetring.store.http;
 
 import com.fasterxml.jackson.databind.JsonNode;
 import java.util.ArrayList;
 import java.util.List;
 import org.apache.hc.client5.http.classic.methods.HttpGet;
-import org.limpetring.platform.WeightStore;
+import org.limpetring.store.WeightStore;
 
 /** Weight store behind the platform's HTTP interface. */
 public final class HttpWeightStore implements WeightStore {
--- a/limpet-platform/src/main/java/org/limpetring/platform/http/MalformedAnswerException.java
+++ b/limpet-store/src/main/java/org/limpetring/store/http/MalformedAnswerException.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.http;
+package org.limpetring.store.http;
 
 /** An answer of the platform lacks a field or holds one of the wrong type. */
 final class MalformedAnswerException extends Exception {
--- a/limpet-platform/src/main/java/org/limpetring/platform/http/PlatformCall.java
+++ b/limpet-store/src/main/java/org/limpetring/store/http/PlatformCall.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.http;
+package org.limpetring.store.http;
 
 /** Kinds of calls to the platform, as they are counted. */
 enum PlatformCall {
--- a/limpet-platform/src/main/java/org/limpetring/platform/http/PlatformSettings.java
+++ b/limpet-store/src/main/java/org/limpetring/store/http/PlatformSettings.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.http;
+package org.limpetring.store.http;
 
 /**
  * How to reach the platform.
--- a/limpet-platform/src/main/java/org/limpetring/platform/http/RotatingTls.java
+++ b/limpet-store/src/main/java/org/limpetring/store/http/RotatingTls.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.http;
+package org.limpetring.store.http;
 
 import java.io.IOException;
 import java.net.Socket;
--- a/limpet-platform/src/main/java/org/limpetring/platform/http/package-info.java
+++ b/limpet-store/src/main/java/org/limpetring/store/http/package-info.java
@@ -1,5 +1,5 @@
 /** Adapters that reach the platform over HTTP and JSON. */
 @NullMarked
-package org.limpetring.platform.http;
+package org.limpetring.store.http;
 
 import org.jspecify.annotations.NullMarked;
--- a/limpet-platform/src/main/java/org/limpetring/platform/memory/FaultyObjectStore.java
+++ b/limpet-store/src/main/java/org/limpetring/store/memory/FaultyObjectStore.java
@@ -1,13 +1,13 @@
-package org.limpetring.platform.memory;
+package org.limpetring.store.memory;
 
 import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicLong;
-import org.limpetring.platform.ListResult;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.WatchResult;
-import org.limpetring.platform.WriteResult;
+import org.limpetring.store.ListResult;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.WatchResult;
+import org.limpetring.store.WriteResult;
 
 /** Object store with switches for outages and lost answers; counts its calls. */
 public final class FaultyObjectStore implements ObjectStore {
--- a/limpet-platform/src/main/java/org/limpetring/platform/memory/MemoryObjectStore.java
+++ b/limpet-store/src/main/java/org/limpetring/store/memory/MemoryObjectStore.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.memory;
+package org.limpetring.store.memory;
 
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -7,13 +7,13 @@
 import java.util.Map;
 import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
-import org.limpetring.platform.ListResult;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.StoredObject;
-import org.limpetring.platform.WatchResult;
-import org.limpetring.platform.WatchResult.Change;
-import org.limpetring.platform.WriteResult;
+import org.limpetring.store.ListResult;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.StoredObject;
+import org.limpetring.store.WatchResult;
+import org.limpetring.store.WatchResult.Change;
+import org.limpetring.store.WriteResult;
 
 /** Linearizable object store in memory that keeps a bounded log of changes for watches. */
 public final class MemoryObjectStore implements ObjectStore {
--- a/limpet-platform/src/test/java/org/limpetring/platform/client/CallBudgetTest.java
+++ b/limpet-store/src/test/java/org/limpetring/store/client/CallBudgetTest.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.client;
+package org.limpetring.store.client;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -11,9 +11,9 @@
 import net.jqwik.api.constraints.Size;
 import org.junit.jupiter.api.Test;
 import org.limpetring.base.ManualClock;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.memory.FaultyObjectStore;
-import org.limpetring.platform.memory.MemoryObjectStore;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.memory.FaultyObjectStore;
+import org.limpetring.store.memory.MemoryObjectStore;
 
 class CallBudgetTest {
 
--- a/limpet-platform/src/test/java/org/limpetring/platform/client/ConditionalWriterTest.java
+++ b/limpet-store/src/test/java/org/limpetring/store/client/ConditionalWriterTest.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.client;
+package org.limpetring.store.client;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -25,11 +25,11 @@
 import org.junit.jupiter.api.Test;
 import org.limpetring.base.Clock;
 import org.limpetring.base.ManualClock;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.StoredObject;
-import org.limpetring.platform.client.ScriptedObjectStore.Fault;
-import org.limpetring.platform.memory.MemoryObjectStore;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.StoredObject;
+import org.limpetring.store.client.ScriptedObjectStore.Fault;
+import org.limpetring.store.memory.MemoryObjectStore;
 
 /** Each update appends its own name to a list, so the list tells how often it took effect. */
 class ConditionalWriterTest {
--- a/limpet-platform/src/test/java/org/limpetring/platform/client/ObjectWatcherTest.java
+++ b/limpet-store/src/test/java/org/limpetring/store/client/ObjectWatcherTest.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.client;
+package org.limpetring.store.client;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -9,15 +9,15 @@
 import org.junit.jupiter.api.Test;
 import org.limpetring.base.Clock;
 import org.limpetring.base.ManualClock;
-import org.limpetring.platform.ListResult;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.StoredObject;
-import org.limpetring.platform.WatchResult;
-import org.limpetring.platform.WatchResult.Change;
-import org.limpetring.platform.WriteResult;
-import org.limpetring.platform.memory.FaultyObjectStore;
-import org.limpetring.platform.memory.MemoryObjectStore;
+import org.limpetring.store.ListResult;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.StoredObject;
+import org.limpetring.store.WatchResult;
+import org.limpetring.store.WatchResult.Change;
+import org.limpetring.store.WriteResult;
+import org.limpetring.store.memory.FaultyObjectStore;
+import org.limpetring.store.memory.MemoryObjectStore;
 
 class ObjectWatcherTest {
 
--- a/limpet-platform/src/test/java/org/limpetring/platform/client/ScriptedObjectStore.java
+++ b/limpet-store/src/test/java/org/limpetring/store/client/ScriptedObjectStore.java
@@ -1,14 +1,14 @@
-package org.limpetring.platform.client;
+package org.limpetring.store.client;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Queue;
-import org.limpetring.platform.ListResult;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.WatchResult;
-import org.limpetring.platform.WriteResult;
+import org.limpetring.store.ListResult;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.WatchResult;
+import org.limpetring.store.WriteResult;
 
 /** Object store whose calls take their faults from a script; past its end they succeed. */
 final class ScriptedObjectStore implements ObjectStore {
--- a/limpet-platform/src/test/java/org/limpetring/platform/client/WatcherMeasurement.java
+++ b/limpet-store/src/test/java/org/limpetring/store/client/WatcherMeasurement.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.client;
+package org.limpetring.store.client;
 
 import java.io.IOException;
 import java.nio.file.Files;
@@ -8,10 +8,10 @@
 import java.util.concurrent.locks.LockSupport;
 import org.junit.jupiter.api.Test;
 import org.limpetring.base.Clock;
-import org.limpetring.platform.StoredObject;
-import org.limpetring.platform.WatchResult;
-import org.limpetring.platform.memory.FaultyObjectStore;
-import org.limpetring.platform.memory.MemoryObjectStore;
+import org.limpetring.store.StoredObject;
+import org.limpetring.store.WatchResult;
+import org.limpetring.store.memory.FaultyObjectStore;
+import org.limpetring.store.memory.MemoryObjectStore;
 
 /**
  * Counts the calls of a watcher at rest and during an outage; run by name, as its name keeps it out
--- a/limpet-platform/src/test/java/org/limpetring/platform/client/package-info.java
+++ b/limpet-store/src/test/java/org/limpetring/store/client/package-info.java
@@ -1,5 +1,5 @@
 /** Tests of the discipline of platform calls. */
 @NullMarked
-package org.limpetring.platform.client;
+package org.limpetring.store.client;
 
 import org.jspecify.annotations.NullMarked;
--- a/limpet-platform/src/test/java/org/limpetring/platform/http/HttpObjectStoreTest.java
+++ b/limpet-store/src/test/java/org/limpetring/store/http/HttpObjectStoreTest.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.http;
+package org.limpetring.store.http;
 
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
@@ -20,13 +20,13 @@
 import org.junit.jupiter.api.Test;
 import org.limpetring.base.Clock;
 import org.limpetring.base.Metrics;
-import org.limpetring.platform.HostList;
-import org.limpetring.platform.ListResult;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.StoredObject;
-import org.limpetring.platform.WatchResult;
-import org.limpetring.platform.WeightStore;
-import org.limpetring.platform.WriteResult;
+import org.limpetring.store.HostList;
+import org.limpetring.store.ListResult;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.StoredObject;
+import org.limpetring.store.WatchResult;
+import org.limpetring.store.WeightStore;
+import org.limpetring.store.WriteResult;
 
 class HttpObjectStoreTest {
 
--- a/limpet-platform/src/test/java/org/limpetring/platform/http/PlatformTlsTest.java
+++ b/limpet-store/src/test/java/org/limpetring/store/http/PlatformTlsTest.java
@@ -1,4 +1,4 @@
-package org.limpetring.platform.http;
+package org.limpetring.store.http;
 
 import static com.google.common.truth.Truth.assertThat;
 
@@ -17,8 +17,8 @@
 import org.awaitility.Awaitility;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.WriteResult;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.WriteResult;
 
 class PlatformTlsTest {
 
--- a/limpet-platform/src/test/java/org/limpetring/platform/http/package-info.java
+++ b/limpet-store/src/test/java/org/limpetring/store/http/package-info.java
@@ -1,5 +1,5 @@
 /** Tests of the HTTP adapters against small servers on the loopback interface. */
 @NullMarked
-package org.limpetring.platform.http;
+package org.limpetring.store.http;
 
 import org.jspecify.annotations.NullMarked;
--- a/limpetctl/src/main/java/org/limpetring/ctl/MarkCommands.java
+++ b/limpetctl/src/main/java/org/limpetring/ctl/MarkCommands.java
@@ -1,9 +1,9 @@
 package org.limpetring.ctl;
 
 import org.limpetring.base.ResultCode;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.WriteResult;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.WriteResult;
 import org.limpetring.tables.ConfigKeys;
 
 /** Takes failure domains and hosts out of service and puts them back; repeating does no harm. */
--- a/limpetctl/src/main/java/org/limpetring/ctl/Session.java
+++ b/limpetctl/src/main/java/org/limpetring/ctl/Session.java
@@ -4,10 +4,10 @@
 import java.util.Objects;
 import org.apache.commons.cli.CommandLine;
 import org.jspecify.annotations.Nullable;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.http.HttpObjectStore;
-import org.limpetring.platform.http.HttpPlatformClient;
-import org.limpetring.platform.http.PlatformSettings;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.http.HttpObjectStore;
+import org.limpetring.store.http.HttpPlatformClient;
+import org.limpetring.store.http.PlatformSettings;
 
 /** Options of one invocation and the connections that they name. */
 final class Session {
--- a/limpetctl/src/test/java/org/limpetring/ctl/CommandsTest.java
+++ b/limpetctl/src/test/java/org/limpetring/ctl/CommandsTest.java
@@ -10,9 +10,9 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 import org.limpetring.base.ResultCode;
-import org.limpetring.platform.ReadResult;
-import org.limpetring.platform.memory.FaultyObjectStore;
-import org.limpetring.platform.memory.MemoryObjectStore;
+import org.limpetring.store.ReadResult;
+import org.limpetring.store.memory.FaultyObjectStore;
+import org.limpetring.store.memory.MemoryObjectStore;
 import org.limpetring.tables.ConfigKeys;
 
 final class CommandsTest {
--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/FleetModule.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/FleetModule.java
@@ -17,7 +17,7 @@
 import org.limpetring.peer.PeerSettings;
 import org.limpetring.peer.PeerTls;
 import org.limpetring.peer.PeerTransport;
-import org.limpetring.platform.ObjectStore;
+import org.limpetring.store.ObjectStore;
 
 /** The daemons that share the control work. */
 public final class FleetModule extends AbstractModule {
--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/GroupsModule.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/GroupsModule.java
@@ -13,9 +13,9 @@
 import org.limpetring.groups.control.ControlSettings;
 import org.limpetring.groups.control.GroupController;
 import org.limpetring.groups.control.GroupInputs;
-import org.limpetring.platform.HostEntry;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.WeightStore;
+import org.limpetring.store.HostEntry;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.WeightStore;
 import org.limpetring.tables.AcceptedConfig;
 
 /** Planning, orders and monitoring of groups. */
--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/HostPoller.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/HostPoller.java
@@ -4,9 +4,9 @@
 import java.util.List;
 import java.util.Objects;
 import java.util.concurrent.atomic.AtomicReference;
-import org.limpetring.platform.HostEntry;
-import org.limpetring.platform.HostList;
-import org.limpetring.platform.WeightStore;
+import org.limpetring.store.HostEntry;
+import org.limpetring.store.HostList;
+import org.limpetring.store.WeightStore;
 
 /** Keeps the last known host list and limits of the weight store; an outage changes neither. */
 public final class HostPoller {
--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/LocalClaims.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/LocalClaims.java
@@ -6,12 +6,12 @@
 import java.util.concurrent.ConcurrentMap;
 import org.limpetring.base.Clock;
 import org.limpetring.daemon.caller.ClaimPort;
-import org.limpetring.platform.ObjectStore;
 import org.limpetring.routing.claim.ClaimAnswer;
 import org.limpetring.routing.claim.ClaimRequest;
 import org.limpetring.routing.claim.ClaimSettings;
 import org.limpetring.routing.claim.ClaimSettlement;
 import org.limpetring.routing.claim.ClaimShardRunner;
+import org.limpetring.store.ObjectStore;
 
 /** Writes claims from this daemon; a shard's thread starts with its first claim. */
 public final class LocalClaims implements ClaimPort {
--- a/limpetd/src/main/java/org/limpetring/daemon/wiring/PlatformModule.java
+++ b/limpetd/src/main/java/org/limpetring/daemon/wiring/PlatformModule.java
@@ -9,17 +9,17 @@
 import org.limpetring.peer.relay.DirectPath;
 import org.limpetring.peer.relay.PlatformRelay;
 import org.limpetring.peer.relay.RelayingObjectStore;
-import org.limpetring.platform.HostList;
-import org.limpetring.platform.ObjectStore;
-import org.limpetring.platform.WeightStore;
-import org.limpetring.platform.client.BudgetedObjectStore;
-import org.limpetring.platform.client.CallBudget;
-import org.limpetring.platform.client.Pause;
-import org.limpetring.platform.http.HttpHostList;
-import org.limpetring.platform.http.HttpObjectStore;
-import org.limpetring.platform.http.HttpPlatformClient;
-import org.limpetring.platform.http.HttpWeightStore;
-import org.limpetring.platform.http.PlatformSettings;
+import org.limpetring.store.HostList;
+import org.limpetring.store.ObjectStore;
+import org.limpetring.store.WeightStore;
+import org.limpetring.store.client.BudgetedObjectStore;
+import org.limpetring.store.client.CallBudget;
+import org.limpetring.store.client.Pause;
+import org.limpetring.store.http.HttpHostList;
+import org.limpetring.store.http.HttpObjectStore;
+import org.limpetring.store.http.HttpPlatformClient;
+import org.limpetring.store.http.HttpWeightStore;
+import org.limpetring.store.http.PlatformSettings;
 
 /** The platform over HTTP. */
 public final class PlatformModule extends AbstractModule {
--- a/limpetd/src/test/java/org/limpetring/daemon/LayersTest.java
+++ b/limpetd/src/test/java/org/limpetring/daemon/LayersTest.java
@@ -13,7 +13,7 @@
 
   private static final List<String> LAYERS =
       List.of(
-          "base", "tables", "platform", "peer", "fleet", "groups", "routing", "engine", "daemon");
+          "base", "tables", "store", "peer", "fleet", "groups", "routing", "engine", "daemon");
 
   @Test
   void noLibraryReachesUpwards() {
--- a/limpetd/src/test/java/org/limpetring/daemon/wiring/LocalClaimsTest.java
+++ b/limpetd/src/test/java/org/limpetring/daemon/wiring/LocalClaimsTest.java
@@ -12,11 +12,11 @@
 import org.junit.jupiter.api.Test;
 import org.limpetring.base.CallerId;
 import org.limpetring.base.Clock;
-import org.limpetring.platform.memory.FaultyObjectStore;
-import org.limpetring.platform.memory.MemoryObjectStore;
 import org.limpetring.routing.claim.ClaimAnswer;
 import org.limpetring.routing.claim.ClaimId;
 import org.limpetring.routing.claim.ClaimRequest;
+import org.limpetring.store.memory.FaultyObjectStore;
+import org.limpetring.store.memory.MemoryObjectStore;
 
 /** Daemons that all write the same shards grant each key once, whatever answers are lost. */
 final class LocalClaimsTest {
