--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
@@ -55,6 +55,12 @@
 
   private static final long SWEEP_MS = 1_000;
 
+  /** Gathers changes that come together; far below the bounds on drains and configuration. */
+  private static final long REARM_MS = 250;
+
+  /** The planner acts on each change of a group, so it waits less. */
+  private static final long PLANNER_REARM_MS = 30;
+
   /** Interval of a few daemons' datagrams; grows with their number so that the bytes do not. */
   private static final long MIN_PEER_MS = 150;
 
@@ -127,7 +133,14 @@
   }
 
   private <T> KindFeed<T> feed(ObjectKind<T> kind, KindFeed.Listener<T> listener) {
-    return new KindFeed<>(kind, store, loop, clock, log, listener);
+    return new KindFeed<>(
+        kind,
+        store,
+        loop,
+        clock,
+        log,
+        listener,
+        () -> role.isPlanner() ? PLANNER_REARM_MS : REARM_MS);
   }
 
   /** Opens the sockets and begins to work. */
@@ -310,6 +323,10 @@
     long nowMs = clock.nowMs();
     peers.onHeard(state, from, nowMs);
     role.onPeer(state, nowMs);
+    List<KindFeed<?>> feeds = feeds();
+    for (int i = 0; i < Math.min(feeds.size(), state.revisions().size()); i++) {
+      feeds.get(i).onHint(state.revisions().get(i));
+    }
     if (state.isPlanner() && state.term() >= role.term()) {
       for (String ended : state.endedPlaces()) {
         core.onGroupEnding(ended, "planner " + state.name() + " ends it");
@@ -317,6 +334,11 @@
     }
   }
 
+  /** Feeds in the order of the revisions that daemons tell each other. */
+  private List<KindFeed<?>> feeds() {
+    return List.of(configFeed, upstreamFeed, domainFeed);
+  }
+
   private void tellPeers(long nowMs) {
     long intervalMs = Math.max(MIN_PEER_MS, PEER_MS_PER_DAEMON * peers.knownCount());
     if (role.isPlanner()) {
@@ -341,6 +363,7 @@
         role.term(),
         role.isPlanner(),
         isStopping,
+        feeds().stream().map(KindFeed::newestRevision).toList(),
         core.loads(),
         ended);
   }
--- a/limpet-entry/src/main/java/org/limpetring/entry/KindFeed.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/KindFeed.java
@@ -3,12 +3,15 @@
 import io.netty.channel.EventLoop;
 import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.limpetring.base.Clock;
 import org.limpetring.base.LogEvent;
 import org.limpetring.entry.port.ObjectKind;
 import org.limpetring.entry.port.PlatformStore;
 import org.limpetring.entry.port.StoreReply;
+import org.limpetring.entry.port.StoredObject;
 import org.limpetring.entry.port.StoredObjects;
 
 /**
@@ -20,16 +23,17 @@
  */
 final class KindFeed<T> {
 
-  /** Gathers changes that come together; far below the bounds on drains and configuration. */
-  private static final long REARM_MS = 60;
-
   /** Longest wait of a watch; a connection that went silent is found by keep-alive before. */
-  private static final long WAIT_MS = 4_000;
+  private static final long WAIT_MS = 10_000;
 
   /** Time that a watch's answer may take beyond the wait. */
   private static final long WATCH_SLACK_MS = 1_500;
 
   private static final long LIST_TIMEOUT_MS = 1_500;
+
+  /** A feed this long behind another daemon's is taken to hear nothing. */
+  private static final long BEHIND_MS = 500;
+
   private static final long MIN_BACKOFF_MS = 80;
 
   /** A store that is back has to be seen well within the time in which machines count as calm. */
@@ -51,12 +55,16 @@
   private final Clock clock;
   private final DecisionLog log;
   private final Listener<T> listener;
+  private final LongSupplier rearmMs;
   private long revision;
   private boolean isListed;
   private long backoffMs = MIN_BACKOFF_MS;
   private long confirmedMs;
   private long troubledMs = Long.MIN_VALUE / 2;
   private boolean isLost;
+  private long newestRevision;
+  private long behindSinceMs = Long.MAX_VALUE;
+  private long hintedMs;
 
   KindFeed(
       ObjectKind<T> kind,
@@ -64,13 +72,15 @@
       EventLoop loop,
       Clock clock,
       DecisionLog log,
-      Listener<T> listener) {
+      Listener<T> listener,
+      LongSupplier rearmMs) {
     this.kind = kind;
     this.store = store;
     this.loop = loop;
     this.clock = clock;
     this.log = log;
     this.listener = listener;
+    this.rearmMs = rearmMs;
   }
 
   void start() {
@@ -83,9 +93,51 @@
     return isListed;
   }
 
-  /** Revision up to which changes are known. */
-  long revision() {
-    return revision;
+  /** Revision of the newest object that is known. */
+  long newestRevision() {
+    return newestRevision;
+  }
+
+  /**
+   * Another daemon knows an object of that revision; lists the kind if this feed stays behind,
+   * since its watch may hear nothing.
+   */
+  void onHint(long othersRevision) {
+    long nowMs = clock.nowMs();
+    if (!isListed || othersRevision <= Math.max(revision, newestRevision)) {
+      behindSinceMs = Long.MAX_VALUE;
+      return;
+    }
+    behindSinceMs = Math.min(behindSinceMs, nowMs);
+    if (nowMs - behindSinceMs < BEHIND_MS || nowMs - hintedMs < BEHIND_MS) {
+      return;
+    }
+    hintedMs = nowMs;
+    log.write(
+        LogEvent.WATCH_RESTARTED,
+        "kind",
+        kind.label(),
+        "revision",
+        newestRevision,
+        "othersRevision",
+        othersRevision);
+    store.list(
+        kind,
+        PlatformStore.Freshness.LINEARIZABLE,
+        LIST_TIMEOUT_MS,
+        reply -> {
+          StoredObjects<T> all = reply.valueOrNull();
+          if (all != null) {
+            take(all, listener::onAll);
+          }
+        });
+  }
+
+  private void take(StoredObjects<T> objects, Consumer<StoredObjects<T>> listen) {
+    for (StoredObject<T> object : objects.objects()) {
+      newestRevision = Math.max(newestRevision, object.revision());
+    }
+    listen.accept(objects);
   }
 
   /** Last time at which a call failed; the distant past if none did. */
@@ -106,7 +158,7 @@
     confirmed();
     revision = all.revision();
     isListed = true;
-    listener.onAll(all);
+    take(all, listener::onAll);
     watch();
   }
 
@@ -122,7 +174,8 @@
     }
     StoredObjects<T> changes = reply.valueOrNull();
     if (changes == null) {
-      retry(reply, this::watch);
+      // a watch that is armed again while the store drops its history may hear nothing for long
+      retry(reply, this::list);
       return;
     }
     confirmed();
@@ -131,8 +184,8 @@
       watch();
       return;
     }
-    listener.onChanges(changes);
-    schedule(this::watch, REARM_MS);
+    take(changes, listener::onChanges);
+    schedule(this::watch, rearmMs.getAsLong());
   }
 
   private void confirmed() {
--- a/limpet-entry/src/main/java/org/limpetring/entry/PlatformView.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/PlatformView.java
@@ -32,12 +32,14 @@
   static final class Listed {
     final Upstream upstream;
     final long sinceMs;
+    final long revision;
 
     /** When its removal takes hold; {@link Long#MAX_VALUE} while it is listed. */
     long removeAtMs = Long.MAX_VALUE;
 
-    Listed(Upstream upstream, long sinceMs) {
+    Listed(Upstream upstream, long revision, long sinceMs) {
       this.upstream = upstream;
+      this.revision = revision;
       this.sinceMs = sinceMs;
     }
 
@@ -110,7 +112,8 @@
       onUpstream(object, troubledMs);
     }
     for (String id : Set.copyOf(upstreams.keySet())) {
-      if (!named.contains(id)) {
+      Listed listed = upstreams.get(id);
+      if (!named.contains(id) && listed != null && listed.revision <= all.revision()) {
         remove(id, troubledMs, all.revision());
       }
     }
@@ -123,7 +126,14 @@
       return;
     }
     Listed before = upstreams.get(object.name());
-    upstreams.put(object.name(), new Listed(next, clock.nowMs()));
+    if (before != null && object.revision() < before.revision) {
+      return;
+    }
+    boolean isSame = before != null && before.upstream.equals(next);
+    if (isSame && before.removeAtMs == Long.MAX_VALUE) {
+      return;
+    }
+    upstreams.put(object.name(), new Listed(next, object.revision(), clock.nowMs()));
     boolean isNews =
         before == null
             || before.upstream.isLeaving() != next.isLeaving()
@@ -150,7 +160,7 @@
 
   private void remove(String id, long troubledMs, long revision) {
     Listed listed = upstreams.get(id);
-    if (listed == null || listed.removeAtMs != Long.MAX_VALUE) {
+    if (listed == null || revision < listed.revision || listed.removeAtMs != Long.MAX_VALUE) {
       return;
     }
     long nowMs = clock.nowMs();
--- a/limpet-entry/src/main/java/org/limpetring/entry/group/Formation.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/Formation.java
@@ -151,8 +151,7 @@
 
   private @Nullable ModelSpec modelThatFits(int hosts) {
     for (ModelSpec model : scarcestFirst()) {
-      boolean isWithinLoads = model.groupSize() <= Math.max(loadsLeft, 0);
-      if (model.groupSize() <= hosts && isWithinLoads) {
+      if (model.groupSize() <= hosts) {
         return model;
       }
     }
--- a/limpet-entry/src/main/java/org/limpetring/entry/group/GroupKeeper.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/GroupKeeper.java
@@ -6,6 +6,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.limpetring.base.Clock;
@@ -29,9 +30,9 @@
 /**
  * The planner's work: forms groups, watches them, takes them apart, one step a tick.
  *
- * <p>A host is given to a new group only when the head of its old one certainly serves no more: the
- * head obeyed the order to leave, is gone, or has been without a member for longer than engines
- * wait. A head is opened only when each member is listed as ready under the group's name and epoch.
+ * <p>A host is given to a new group only when the head of its old one has obeyed the order to leave
+ * or is gone, or when the host itself has obeyed it. A head is opened only when each member is
+ * listed as ready under the group's name and epoch.
  */
 public final class GroupKeeper {
 
@@ -61,7 +62,11 @@
   }
 
   private static final long ORDER_TIMEOUT_MS = 350;
-  private static final long PROBE_TIMEOUT_MS = 250;
+  private static final long PROBE_TIMEOUT_MS = 180;
+
+  /** Pause between two questions to a host that did not answer the last one. */
+  private static final long REPROBE_MS = 800;
+
   private static final long PROBE_PAUSE_MS = 40;
 
   /** Probes in a row without an answer after which a member counts as lost. */
@@ -70,6 +75,9 @@
   /** An order without a visible effect is sent again after this time. */
   private static final long REORDER_MS = 700;
 
+  /** An order to leave that was not answered is sent again after this time. */
+  private static final long LEAVE_AGAIN_MS = 350;
+
   /** Added to the time in which engines give up on a lost member. */
   private static final long STALL_MARGIN_MS = 700;
 
@@ -79,6 +87,9 @@
   /** A forming group that takes this much longer than its load is given up. */
   private static final long FORM_SLACK_MS = 6_000;
 
+  /** Begins the names of groups of one host that never open. */
+  private static final String SPARE = "spare-";
+
   private static final double LOAD_RATE_PART = 0.8;
   private static final double MS_PER_S = 1_000;
 
@@ -97,8 +108,9 @@
     boolean mayBeOpen;
     boolean isGentle;
     boolean isHeadReleased;
+    boolean isHeadOut;
     boolean isCloseSent;
-    long brokenAtMs = Long.MAX_VALUE;
+    final Set<String> left = new HashSet<>();
 
     Work(PlannedGroup group, long nowMs) {
       this.group = group;
@@ -130,7 +142,15 @@
   private final Map<String, Work> works = new LinkedHashMap<>();
   private final Map<String, Load> loads = new HashMap<>();
   private final Map<String, String> lastModels = new HashMap<>();
+  private final Map<String, Long> warmSentMs = new HashMap<>();
   private final Set<String> leaving = new HashSet<>();
+
+  /** Groups whose heads certainly serve them no more, by name and epoch. */
+  private final Set<String> headlessGroups = new HashSet<>();
+
+  /** Lives that did not answer, with the time of their last probe; they form no groups. */
+  private final Map<String, Long> silentLives = new HashMap<>();
+
   private double loadTokens;
   private long loadRefilledMs;
   private boolean wasPlanner;
@@ -181,6 +201,7 @@
       step(work, nowMs);
     }
     loads.entrySet().removeIf(each -> isLoadOver(each.getKey(), each.getValue(), nowMs));
+    silentLives.values().removeIf(probedMs -> nowMs - probedMs > 10 * REPROBE_MS);
     if (!role.isCalling()) {
       plan(nowMs);
     }
@@ -396,6 +417,9 @@
     } else {
       int silent = work.silentProbes.merge(member.id(), 1, Integer::sum);
       boolean isLost = reply instanceof ReportReply.Gone || silent >= SILENT_PROBES;
+      if (isLost) {
+        silentLives.put(member.life(), nowMs);
+      }
       if (isLost && isCurrent(work, Phase.OPENED)) {
         end(work, member.id() + " does not answer", false, nowMs);
         return;
@@ -442,8 +466,9 @@
     boolean hasLeft =
         head != null
             && (membership == null || !membership.isOf(work.group.name(), work.group.epoch()));
-    if (!work.mayBeOpen || hasLeft || nowMs >= work.brokenAtMs) {
+    if (!work.mayBeOpen || hasLeft) {
       work.isHeadReleased = true;
+      work.isHeadOut = true;
       return;
     }
     if (work.isGentle && nowMs - work.endingSinceMs < GENTLE_MS && head != null) {
@@ -455,12 +480,15 @@
         return;
       }
     }
-    if (nowMs - work.leaveSentMs < REORDER_MS / 2) {
+    if (nowMs - work.leaveSentMs < LEAVE_AGAIN_MS) {
       return;
     }
     work.leaveSentMs = nowMs;
-    if (head == null) {
+    boolean isHeadSilent = head == null || silentLives.containsKey(head.life());
+    if (isHeadSilent) {
       releaseUnreachable(work, nowMs);
+    }
+    if (head == null) {
       return;
     }
     order(
@@ -474,6 +502,7 @@
                   || reply == OrderReply.UNFIT;
           if (isFree) {
             work.isHeadReleased = true;
+            work.isHeadOut = true;
           } else {
             releaseUnreachable(work, clock.nowMs());
           }
@@ -481,34 +510,53 @@
   }
 
   /**
-   * The head can't be told to leave: takes out a member instead; a head that lives without it
-   * breaks after the time in which engines give up.
+   * The head can't be told to leave: its members are, each by itself. A member that left belongs to
+   * no group, and a head that lost one serves nothing more and breaks by itself.
    */
   private void releaseUnreachable(Work work, long nowMs) {
-    if (work.brokenAtMs != Long.MAX_VALUE) {
-      return;
-    }
-    for (String id : work.group.members()) {
+    PlannedGroup group = work.group;
+    for (String id : group.members()) {
       Upstream member = surroundings.upstream(id);
-      if (member == null || id.equals(work.group.head())) {
+      if (member == null || id.equals(group.head()) || work.left.contains(id)) {
+        continue;
+      }
+      Membership membership = member.membership();
+      if (membership == null || !membership.isOf(group.name(), group.epoch())) {
+        work.left.add(id);
         continue;
       }
       order(
           member,
-          new EngineOrder.Leave(work.group.name(), work.group.epoch()),
+          new EngineOrder.Leave(group.name(), group.epoch()),
           reply -> {
-            if (reply.isTaken() || reply == OrderReply.GONE) {
-              long leftMs = clock.nowMs();
-              work.brokenAtMs = Math.min(work.brokenAtMs, leftMs + stallMs + STALL_MARGIN_MS);
+            if (reply.isTaken() || reply == OrderReply.GONE || reply == OrderReply.OTHER_ENGINE) {
+              work.left.add(id);
             }
           });
     }
-    if (nowMs - work.endingSinceMs > 2 * (stallMs + STALL_MARGIN_MS)) {
-      // no member answers: none of them can be given to another group meanwhile
+    work.isHeadReleased = isEachMemberOut(work);
+    if (nowMs - work.endingSinceMs > stallMs + STALL_MARGIN_MS) {
+      // who still does not answer forms no group anyway
       work.isHeadReleased = true;
     }
   }
 
+  /** Whether each member but the head has left, is no longer listed or does not answer. */
+  private boolean isEachMemberOut(Work work) {
+    for (String id : work.group.members()) {
+      Upstream member = surroundings.upstream(id);
+      boolean isOut =
+          id.equals(work.group.head())
+              || member == null
+              || work.left.contains(id)
+              || silentLives.containsKey(member.life());
+      if (!isOut) {
+        return false;
+      }
+    }
+    return true;
+  }
+
   private void order(
       Upstream engine, EngineOrder order, java.util.function.Consumer<OrderReply> done) {
     long sentMs = clock.nowMs();
@@ -580,7 +628,10 @@
   private void onPlanWritten(List<PlannedGroup> released, List<PlannedGroup> created) {
     long nowMs = clock.nowMs();
     for (PlannedGroup group : released) {
-      works.remove(group.name());
+      Work work = works.remove(group.name());
+      if (work != null && work.isHeadOut) {
+        headlessGroups.add(group.name() + '/' + group.epoch());
+      }
       log.write(LogEvent.GROUP_ENDED, "group", group.name(), "epoch", group.epoch());
     }
     for (PlannedGroup group : created) {
@@ -658,6 +709,46 @@
     for (Formation.Staging staging : decision.stagings()) {
       stage(staging, engine, nowMs);
     }
+    Set<String> taken = new HashSet<>(bound);
+    for (PlannedGroup group : created) {
+      taken.addAll(group.members());
+    }
+    for (FreeHost host : free) {
+      if (!taken.contains(host.id())) {
+        warm(host, nowMs);
+      }
+    }
+  }
+
+  /**
+   * Has a spare host read its staged weights ahead of time, in a group of its own that never opens:
+   * an engine joins a group of the model of its last group many times faster.
+   */
+  private void warm(FreeHost spare, long nowMs) {
+    Upstream host = surroundings.upstream(spare.id());
+    String model = spare.stagedModel();
+    if (host == null
+        || model == null
+        || spare.loadingModel() != null
+        || model.equals(spare.lastModel())
+        || host.membership() != null) {
+      return;
+    }
+    Long sentMs = warmSentMs.get(host.life());
+    if (sentMs != null && nowMs - sentMs < 4 * REORDER_MS) {
+      return;
+    }
+    warmSentMs.put(host.life(), nowMs);
+    EngineOrder join =
+        new EngineOrder.Join(SPARE + host.id(), lastEpoch, model, List.of(host.id()));
+    order(
+        host,
+        join,
+        reply -> {
+          if (reply.isTaken()) {
+            lastModels.put(host.life(), model);
+          }
+        });
   }
 
   private int unstagedMembers(PlannedGroup group) {
@@ -702,6 +793,7 @@
   private boolean isFree(Upstream upstream, Set<String> bound) {
     if (bound.contains(upstream.id())
         || upstream.isLeaving()
+        || isSilent(upstream)
         || surroundings.domainsOut().contains(upstream.failureDomain())) {
       return false;
     }
@@ -709,28 +801,57 @@
     if (membership == null) {
       return true;
     }
-    Upstream holder = holder(upstream, membership);
-    if (holder == null) {
+    if (membership.group().startsWith(SPARE)) {
       return true;
     }
-    if (leaving.add(holder.life() + membership.group())) {
+    Upstream head = listedHead(upstream, membership);
+    boolean isHeadOut =
+        head == null
+            ? headlessGroups.contains(membership.group() + '/' + membership.epoch())
+            : !Objects.requireNonNull(head.membership()).state().holdsMembers();
+    if (isHeadOut) {
+      return true;
+    }
+    // the head goes first if it can be told; a host that has left by itself belongs to no group
+    Upstream told = head == null ? upstream : head;
+    if (leaving.add(told.life() + membership.group())) {
       order(
-          holder,
+          told,
           new EngineOrder.Leave(membership.group(), membership.epoch()),
-          reply -> leaving.remove(holder.life() + membership.group()));
+          reply -> leaving.remove(told.life() + membership.group()));
     }
     return false;
   }
 
-  /** A listed head outside of the plan that may still serve with this member, or null. */
-  private @Nullable Upstream holder(Upstream member, Membership membership) {
+  /** Whether the host did not answer lately; asks it again from time to time. */
+  private boolean isSilent(Upstream upstream) {
+    Long probedMs = silentLives.get(upstream.life());
+    if (probedMs == null) {
+      return false;
+    }
+    long nowMs = clock.nowMs();
+    if (nowMs - probedMs >= REPROBE_MS) {
+      silentLives.put(upstream.life(), nowMs);
+      engines.report(
+          upstream,
+          PROBE_TIMEOUT_MS,
+          reply -> {
+            if (reply instanceof ReportReply.Told) {
+              silentLives.remove(upstream.life());
+            }
+          });
+    }
+    return true;
+  }
+
+  /** The listed host that is the head of a member's group, or null. */
+  private @Nullable Upstream listedHead(Upstream member, Membership membership) {
     for (Upstream other : surroundings.upstreams()) {
       Membership head = other.membership();
       if (head != null
           && head.rank() == 0
           && head.isOf(membership.group(), membership.epoch())
-          && other.service().equals(member.service())
-          && head.state().holdsMembers()) {
+          && other.service().equals(member.service())) {
         return other;
       }
     }
--- a/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerState.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerState.java
@@ -15,6 +15,7 @@
  * @param term the planner's term as the sender knows it
  * @param isPlanner whether the sender plans
  * @param isStopping whether the sender is about to end
+ * @param revisions per kind, the store's revision of the newest object that the sender knows
  * @param loads requests in progress by place
  * @param endedPlaces places whose groups the sender, as planner, has lately taken apart
  */
@@ -25,6 +26,7 @@
     long term,
     boolean isPlanner,
     boolean isStopping,
+    List<Long> revisions,
     List<Load> loads,
     List<String> endedPlaces) {
 
@@ -39,12 +41,14 @@
   private static final int IS_STOPPING = 6;
   private static final int LOAD = 7;
   private static final int ENDED_PLACE = 8;
+  private static final int REVISION = 9;
   private static final int LOAD_KEY = 1;
   private static final int LOAD_IN_FLIGHT = 2;
   private static final int LOAD_SUSPECTED = 3;
 
   /** Copies the lists. */
   public PeerState {
+    revisions = List.copyOf(revisions);
     loads = List.copyOf(loads);
     endedPlaces = List.copyOf(endedPlaces);
   }
@@ -63,6 +67,9 @@
       for (Load load : loads) {
         out.writeByteArray(LOAD, encode(load));
       }
+      for (long revision : revisions) {
+        out.writeInt64(REVISION, revision);
+      }
       for (String ended : endedPlaces) {
         out.writeString(ENDED_PLACE, ended);
       }
@@ -98,6 +105,7 @@
     boolean isStopping = false;
     List<Load> loads = new ArrayList<>();
     List<String> endedPlaces = new ArrayList<>();
+    List<Long> revisions = new ArrayList<>();
     for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
       switch (WireFormat.getTagFieldNumber(tag)) {
         case NAME -> name = in.readString();
@@ -107,6 +115,7 @@
         case IS_PLANNER -> isPlanner = in.readBool();
         case IS_STOPPING -> isStopping = in.readBool();
         case LOAD -> loads.add(decodeLoad(in.readByteArray()));
+        case REVISION -> revisions.add(in.readInt64());
         case ENDED_PLACE -> endedPlaces.add(in.readString());
         default -> in.skipField(tag);
       }
@@ -115,7 +124,7 @@
       throw new IOException("no name");
     }
     return new PeerState(
-        name, failureDomain, sequence, term, isPlanner, isStopping, loads, endedPlaces);
+        name, failureDomain, sequence, term, isPlanner, isStopping, revisions, loads, endedPlaces);
   }
 
   private static Load decodeLoad(byte[] bytes) throws IOException {
--- a/limpet-entry/src/main/java/org/limpetring/entry/place/Place.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/place/Place.java
@@ -28,6 +28,9 @@
 
   private static final long MAX_EJECT_MS = 6_000;
 
+  /** Added to two passes before a silence counts; ways and timers take some of it. */
+  private static final double SILENCE_SLACK_MS = 100;
+
   /** Pass times count for this long; without new ones the engine's figures hold. */
   private static final long PASS_VALID_MS = 3_000;
 
@@ -228,6 +231,6 @@
       return Double.MAX_VALUE;
     }
     double chunkMs = Math.min(engine.chunkTokens(), 8_192) / engine.readTokensPerMs() * pace();
-    return 3 * (currentPassMs(nowMs) + chunkMs) + 120;
+    return 2 * (currentPassMs(nowMs) + chunkMs) + SILENCE_SLACK_MS;
   }
 }
