Hosts by share of work, one model a fabric domain, first groups once the list has settled

Change: supply counts hosts for the share of work; a fabric domain keeps one model; no load limits before traffic; the list settles before the first groups form; lone empty hosts load what completes a group soonest.

--- a/limpet-base/src/main/java/org/limpetring/base/LogEvent.java
+++ b/limpet-base/src/main/java/org/limpetring/base/LogEvent.java
@@ -54,6 +54,8 @@
   ORDER_ANSWERED(4018, Logger.Level.INFO, "engine answered an order"),
   UPSTREAM_EJECTED(4019, Logger.Level.WARN, "upstream fails too often and rests"),
 
+  HOSTS_COUNTED(4020, Logger.Level.INFO, "groups and spare hosts of a pool"),
+
   REQUEST_REFUSED(5001, Logger.Level.DEBUG, "request %s refused: %s"),
   REQUEST_FAILED(5002, Logger.Level.INFO, "request %s failed after dispatch: %s"),
   REQUEST_RETRIED(5003, Logger.Level.DEBUG, "request %s retried: %s"),
--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
@@ -65,6 +65,7 @@
   private final Set<String> endedGroups = new HashSet<>();
   private RouteTable table = NO_TABLE;
   private boolean isStopping;
+  private boolean isTrafficSeen;
   private boolean isDrainScheduled;
   private boolean isIndexStale;
 
@@ -276,8 +277,14 @@
 
   // admission
 
+  /** Whether any request has come since the start. */
+  boolean isTrafficSeen() {
+    return isTrafficSeen;
+  }
+
   /** Finds a place for a request, or lets it wait, or refuses it. */
   void admit(RequestFlow flow) {
+    isTrafficSeen = true;
     flows.add(flow);
     refreshIndex();
     if (!flow.isStillAllowed()) {
--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
@@ -468,6 +468,11 @@
       return config == null ? List.of() : config.services().values();
     }
 
+    @Override
+    public boolean isTrafficSeen() {
+      return core.isTrafficSeen() || !settings.isFirstStart();
+    }
+
     @Override
     public Set<String> domainsOut() {
       return view.domainsOut();
--- a/limpet-entry/src/main/java/org/limpetring/entry/PlatformView.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/PlatformView.java
@@ -129,8 +129,7 @@
     if (before != null && object.revision() < before.revision) {
       return;
     }
-    boolean isSame = before != null && before.upstream.equals(next);
-    if (isSame && before.removeAtMs == Long.MAX_VALUE) {
+    if (before != null && before.upstream.equals(next) && before.removeAtMs == Long.MAX_VALUE) {
       return;
     }
     upstreams.put(object.name(), new Listed(next, object.revision(), clock.nowMs()));
@@ -149,6 +148,8 @@
           next.address(),
           "leaving",
           next.isLeaving(),
+          "fabricDomain",
+          next.engine() == null ? "" : next.engine().fabricDomain(),
           "coldLeftMs",
           next.coldLeftMs(),
           "born",
--- a/limpet-entry/src/main/java/org/limpetring/entry/group/Formation.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/Formation.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
 import org.limpetring.entry.model.EngineSpec;
@@ -29,8 +30,14 @@
   /** What is to be done now. */
   public record Decision(List<NewGroup> groups, List<Staging> stagings) {}
 
+  /** Share of hosts that are being replaced at any time; a larger group is whole less often. */
+  private static final double HOST_LOSS = 0.05;
+
+  /** Preference for the model of a fabric domain, whose survivors can complete a group. */
+  private static final double MAIN_MODEL_WEIGHT = 4;
+
   private final EngineSpec engine;
-  private final Map<String, Double> capacity = new HashMap<>();
+  private final Map<String, Double> hostsByModel = new HashMap<>();
   private final Map<String, List<FreeHost>> freeByDomain = new TreeMap<>();
   private final Map<String, Map<String, Integer>> modelsByDomain;
   private final List<NewGroup> groups = new ArrayList<>();
@@ -47,7 +54,8 @@
     this.modelsByDomain = modelsByDomain;
     this.loadsLeft = loadsLeft;
     for (ModelSpec model : engine.models()) {
-      capacity.put(model.name(), groupsByModel.getOrDefault(model.name(), 0) * capacityOf(model));
+      hostsByModel.put(
+          model.name(), (double) groupsByModel.getOrDefault(model.name(), 0) * model.groupSize());
     }
     for (FreeHost host : free) {
       freeByDomain.computeIfAbsent(host.fabricDomain(), key -> new ArrayList<>()).add(host);
@@ -75,12 +83,7 @@
     return new Decision(formation.groups, formation.stagings);
   }
 
-  /** Work that one group of the model does, relative to a group of pace 1. */
-  private static double capacityOf(ModelSpec model) {
-    return 1 / Math.max(0.01, model.pace());
-  }
-
-  /** Models, the one with the least capacity for its share first. */
+  /** Models, the one with the fewest hosts for its share of the work first. */
   private List<ModelSpec> scarcestFirst() {
     List<ModelSpec> models = new ArrayList<>(engine.models());
     models.sort(Comparator.comparingDouble(this::supply).thenComparing(model -> -model.share()));
@@ -88,7 +91,8 @@
   }
 
   private double supply(ModelSpec model) {
-    return capacity.getOrDefault(model.name(), 0.0) / Math.max(0.001, model.share());
+    double whole = Math.pow(1 - HOST_LOSS, model.groupSize());
+    return hostsByModel.getOrDefault(model.name(), 0.0) * whole / Math.max(0.001, model.share());
   }
 
   private void formFromLoaded() {
@@ -127,11 +131,8 @@
     boolean isFormed = true;
     while (isFormed && loadsLeft > 0) {
       isFormed = false;
-      for (List<FreeHost> hosts : freeByDomain.values()) {
-        List<FreeHost> empty = empty(hosts);
-        ModelSpec model = modelThatFits(empty.size());
-        if (model != null) {
-          form(model, empty.subList(0, model.groupSize()), hosts, model.groupSize());
+      for (ModelSpec model : scarcestFirst()) {
+        if (formOneFromEmpty(model)) {
           isFormed = true;
           break;
         }
@@ -139,23 +140,31 @@
     }
   }
 
+  private boolean formOneFromEmpty(ModelSpec model) {
+    for (Map.Entry<String, List<FreeHost>> domain : freeByDomain.entrySet()) {
+      List<FreeHost> empty = empty(domain.getValue());
+      ModelSpec main = mainModel(domain.getKey());
+      boolean mayTakeModel = main == null || main.equals(model) || empty.size() < main.groupSize();
+      if (mayTakeModel && empty.size() >= model.groupSize()) {
+        form(model, empty.subList(0, model.groupSize()), domain.getValue(), model.groupSize());
+        return true;
+      }
+    }
+    return false;
+  }
+
   private static List<FreeHost> empty(List<FreeHost> hosts) {
     List<FreeHost> empty = new ArrayList<>();
     for (FreeHost host : hosts) {
-      if (host.stagedModel() == null && host.loadingModel() == null) {
+      if (isEmpty(host)) {
         empty.add(host);
       }
     }
     return empty;
   }
 
-  private @Nullable ModelSpec modelThatFits(int hosts) {
-    for (ModelSpec model : scarcestFirst()) {
-      if (model.groupSize() <= hosts) {
-        return model;
-      }
-    }
-    return null;
+  private static boolean isEmpty(FreeHost host) {
+    return host.stagedModel() == null && host.loadingModel() == null;
   }
 
   private void form(ModelSpec model, List<FreeHost> members, List<FreeHost> domain, int loads) {
@@ -164,27 +173,70 @@
       ids.add(member.id());
     }
     groups.add(new NewGroup(model.name(), ids, loads));
-    capacity.merge(model.name(), capacityOf(model), Double::sum);
+    hostsByModel.merge(model.name(), (double) model.groupSize(), Double::sum);
+    modelsByDomain
+        .computeIfAbsent(members.get(0).fabricDomain(), key -> new HashMap<>())
+        .merge(model.name(), loads, Integer::sum);
     domain.removeAll(List.copyOf(members));
     loadsLeft -= loads;
   }
 
+  /** Loads models onto empty hosts, in the fabric domain where that completes most. */
   private void stage() {
-    for (Map.Entry<String, List<FreeHost>> domain : freeByDomain.entrySet()) {
-      for (FreeHost host : empty(domain.getValue())) {
-        if (loadsLeft <= 0) {
-          return;
+    while (loadsLeft > 0) {
+      FreeHost bestHost = null;
+      ModelSpec bestModel = null;
+      double best = 0;
+      for (Map.Entry<String, List<FreeHost>> domain : freeByDomain.entrySet()) {
+        FreeHost host = firstEmpty(domain.getValue());
+        for (ModelSpec model : engine.models()) {
+          double gain = host == null ? 0 : gain(domain.getKey(), domain.getValue(), model);
+          if (gain > best) {
+            best = gain;
+            bestHost = host;
+            bestModel = model;
+          }
         }
-        stagings.add(new Staging(host.id(), modelOf(domain.getKey()).name()));
-        loadsLeft--;
       }
+      if (bestHost == null || bestModel == null) {
+        return;
+      }
+      stagings.add(new Staging(bestHost.id(), bestModel.name()));
+      List<FreeHost> hosts = Objects.requireNonNull(freeByDomain.get(bestHost.fabricDomain()));
+      hosts.remove(bestHost);
+      hosts.add(new FreeHost(bestHost.id(), bestHost.fabricDomain(), null, bestModel.name(), null));
+      loadsLeft--;
+    }
+  }
+
+  private static @Nullable FreeHost firstEmpty(List<FreeHost> hosts) {
+    for (FreeHost host : hosts) {
+      if (isEmpty(host)) {
+        return host;
+      }
+    }
+    return null;
+  }
+
+  /** What one more host of the model is worth: how short it is, by the loads still to come. */
+  private double gain(String domain, List<FreeHost> hosts, ModelSpec model) {
+    int free = 0;
+    for (FreeHost host : hosts) {
+      boolean isOfModel =
+          model.name().equals(host.loadingModel())
+              || (host.loadingModel() == null && model.name().equals(host.stagedModel()));
+      free += isOfModel ? 1 : 0;
     }
+    int missing = model.groupSize() - free % model.groupSize();
+    boolean isMain = model.equals(mainModel(domain));
+    return (isMain ? MAIN_MODEL_WEIGHT : 1)
+        / ((supply(model) + 1) * missing * Math.max(1, model.loadMs()));
   }
 
-  /** Model that most hosts of a fabric domain hold; the scarcest one where none do. */
-  private ModelSpec modelOf(String domain) {
+  /** Model that most hosts of a fabric domain hold, or null. */
+  private @Nullable ModelSpec mainModel(String domain) {
     Map<String, Integer> counts = modelsByDomain.getOrDefault(domain, Map.of());
-    ModelSpec best = scarcestFirst().get(0);
+    ModelSpec best = null;
     int most = 0;
     for (ModelSpec model : engine.models()) {
       int count = counts.getOrDefault(model.name(), 0);
--- a/limpet-entry/src/main/java/org/limpetring/entry/group/GroupKeeper.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/GroupKeeper.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Objects;
 import java.util.Set;
+import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
 import org.limpetring.base.Clock;
 import org.limpetring.base.LogEvent;
@@ -48,6 +49,9 @@
     /** Pools of the configuration in force. */
     Iterable<ServiceSpec> services();
 
+    /** Whether callers have sent requests yet; loads are fast and free before. */
+    boolean isTrafficSeen();
+
     /** Failure domains that are out of service. */
     Set<String> domainsOut();
 
@@ -90,6 +94,9 @@
   /** Begins the names of groups of one host that never open. */
   private static final String SPARE = "spare-";
 
+  /** Pause in the growth of the list after which the first groups form. */
+  private static final long SETTLE_MS = 500;
+
   private static final double LOAD_RATE_PART = 0.8;
   private static final double MS_PER_S = 1_000;
 
@@ -154,6 +161,9 @@
   private double loadTokens;
   private long loadRefilledMs;
   private boolean wasPlanner;
+  private int mostHosts;
+  private long countedMs = Long.MIN_VALUE / 2;
+  private long grownMs = Long.MIN_VALUE / 2;
   private long lastEpoch;
 
   /** Keeper that acts while {@code role} is held. */
@@ -614,7 +624,7 @@
     List<PlannedGroup> created = new ArrayList<>();
     for (ServiceSpec service : surroundings.services()) {
       EngineSpec engine = service.engine();
-      if (engine != null) {
+      if (engine != null && isSettled(nowMs)) {
         form(service.name(), engine, bound, created, nowMs);
       }
     }
@@ -625,6 +635,19 @@
     role.write(next, lastEpoch, () -> onPlanWritten(released, created));
   }
 
+  /** Whether the list has stopped growing, so that a fabric domain's hosts are seen together. */
+  private boolean isSettled(long nowMs) {
+    int count = 0;
+    for (Upstream upstream : surroundings.upstreams()) {
+      count += upstream.engine() == null ? 0 : 1;
+    }
+    if (count > mostHosts) {
+      mostHosts = count;
+      grownMs = nowMs;
+    }
+    return surroundings.isTrafficSeen() || nowMs - grownMs >= SETTLE_MS;
+  }
+
   private void onPlanWritten(List<PlannedGroup> released, List<PlannedGroup> created) {
     long nowMs = clock.nowMs();
     for (PlannedGroup group : released) {
@@ -658,8 +681,10 @@
       List<PlannedGroup> created,
       long nowMs) {
     Map<String, Integer> groupsByModel = new HashMap<>();
+    Map<String, String> plannedModels = new HashMap<>();
     int loading = 0;
     for (Work work : works.values()) {
+      work.group.members().forEach(id -> plannedModels.put(id, work.group.model()));
       if (work.group.service().equals(service) && work.group.phase() != Phase.ENDING) {
         groupsByModel.merge(work.group.model(), 1, Integer::sum);
         if (work.group.phase() == Phase.FORMING) {
@@ -676,7 +701,8 @@
       }
       Load load = loads.get(upstream.id());
       String staged = status.staged().isEmpty() ? null : status.staged().get(0);
-      String held = load != null ? load.model : staged;
+      String planned = plannedModels.get(upstream.id());
+      String held = planned != null ? planned : load != null ? load.model : staged;
       if (held != null) {
         modelsByDomain
             .computeIfAbsent(status.fabricDomain(), key -> new HashMap<>())
@@ -695,8 +721,12 @@
                 lastModels.get(upstream.life())));
       }
     }
+    count(service, groupsByModel, free, loading, nowMs);
     refillLoads(engine, nowMs);
-    int loadsLeft = (int) Math.max(0, Math.min(loadTokens, engine.loadsAtOnce() - loading));
+    int loadsLeft =
+        surroundings.isTrafficSeen()
+            ? (int) Math.max(0, Math.min(loadTokens, engine.loadsAtOnce() - loading))
+            : Integer.MAX_VALUE;
     Formation.Decision decision =
         Formation.decide(engine, free, groupsByModel, modelsByDomain, loadsLeft);
     for (Formation.NewGroup group : decision.groups()) {
@@ -720,6 +750,43 @@
     }
   }
 
+  /** Logs, once a second, how the pool's hosts are used. */
+  private void count(
+      String service,
+      Map<String, Integer> groupsByModel,
+      List<FreeHost> free,
+      int loading,
+      long nowMs) {
+    if (nowMs - countedMs < MS_PER_S) {
+      return;
+    }
+    countedMs = nowMs;
+    Map<String, Integer> spares = new TreeMap<>();
+    for (FreeHost host : free) {
+      String what =
+          host.loadingModel() != null ? "loading " + host.loadingModel() : host.stagedModel();
+      spares.merge(host.fabricDomain() + ' ' + (what == null ? "empty" : what), 1, Integer::sum);
+    }
+    int unreachable = 0;
+    for (Work work : works.values()) {
+      unreachable += work.group.phase() == Phase.ENDING ? 1 : 0;
+    }
+    log.write(
+        LogEvent.HOSTS_COUNTED,
+        "service",
+        service,
+        "groups",
+        groupsByModel,
+        "ending",
+        unreachable,
+        "spares",
+        spares,
+        "loading",
+        loading,
+        "silent",
+        silentLives.size());
+  }
+
   /**
    * Has a spare host read its staged weights ahead of time, in a group of its own that never opens:
    * an engine joins a group of the model of its last group many times faster.
