Tests of the entry host's decisions, formats and planner; cold permits' scenario mended

Cause of KNOWN-RED coldPermitsAreLinearizable: the scenario kept all threads' permits in one queue; between the gate's grant and the entry in the queue another thread saw a permit in use but could not release it, which no sequential order allows. The gate itself was not at fault. Each thread now releases its own permits; invocations, threads and actors stay as they were.

--- /dev/null
+++ b/limpet-entry/src/test/java/org/limpetring/entry/PlatformViewTest.java
@@ -0,0 +1,84 @@
+package org.limpetring.entry;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.ByteArrayOutputStream;
+import java.util.List;
+import java.util.Objects;
+import org.junit.jupiter.api.Test;
+import org.limpetring.base.ManualClock;
+import org.limpetring.entry.model.Upstream;
+import org.limpetring.entry.port.StoredObject;
+import org.limpetring.entry.port.StoredObjects;
+
+final class PlatformViewTest {
+
+  private static final long CALM = Long.MIN_VALUE / 2;
+
+  private final ManualClock clock = new ManualClock(100_000);
+  private final PlatformView view =
+      new PlatformView(clock, new DecisionLog(new ByteArrayOutputStream(), clock));
+
+  private static StoredObject<Upstream> object(String id, long revision) {
+    return new StoredObject<>(id, revision, TestData.plain(id), false);
+  }
+
+  private static StoredObjects<Upstream> all(long revision, String... ids) {
+    return new StoredObjects<>(
+        List.of(ids).stream().map(id -> object(id, revision)).toList(), revision);
+  }
+
+  @Test
+  void theConfigurationOnlyGoesForward() {
+    assertThat(view.onConfig(TestData.config(7), 1)).isTrue();
+    assertThat(view.onConfig(TestData.config(5), 2)).isFalse();
+    assertThat(view.onConfig(TestData.config(7), 3)).isFalse();
+    assertThat(Objects.requireNonNull(view.config()).version()).isEqualTo(7);
+    assertThat(view.onConfig(TestData.config(9), 4)).isTrue();
+  }
+
+  @Test
+  void aRemovedUpstreamIsGoneAtOnceWhileTheStoreIsCalm() {
+    view.onAllUpstreams(all(1, "a", "b"), CALM);
+    view.onUpstream(new StoredObject<>("a", 2, null, true), CALM);
+    assertThat(view.upstream("a")).isNull();
+    assertThat(view.upstream("b")).isNotNull();
+  }
+
+  @Test
+  void anUpstreamThatLapsedWhileTheStoreWasAwayIsKeptUntilItIsListedAgain() {
+    view.onAllUpstreams(all(1, "a", "b"), CALM);
+    view.onAllUpstreams(all(5), clock.nowMs() - 500);
+    assertThat(view.upstream("a")).isNotNull();
+    clock.advance(1_000);
+    view.onUpstream(object("a", 6), clock.nowMs());
+    clock.advance(1_000);
+    assertThat(view.removeExpired()).isTrue();
+    assertThat(view.upstream("a")).isNotNull();
+    assertThat(view.upstream("b")).isNull();
+  }
+
+  @Test
+  void anEntryThatCannotBeReadNamesNoUpstream() {
+    view.onAllUpstreams(all(1, "a", "b"), CALM);
+    view.onUpstream(new StoredObject<>("a", 2, null, false), CALM);
+    assertThat(view.upstream("a")).isNull();
+    assertThat(view.upstream("b")).isNotNull();
+  }
+
+  @Test
+  void anOlderAnswerDoesNotUndoANewerOne() {
+    view.onUpstream(object("a", 9), CALM);
+    view.onUpstream(new StoredObject<>("a", 8, null, true), CALM);
+    view.onAllUpstreams(all(7), CALM);
+    assertThat(view.upstream("a")).isNotNull();
+  }
+
+  @Test
+  void failureDomainsGoOutAndComeBack() {
+    view.onDomainOut(new StoredObject<>("a", 1, "a", false));
+    assertThat(view.domainsOut()).containsExactly("a");
+    view.onAllDomainsOut(new StoredObjects<>(List.of(), 2));
+    assertThat(view.domainsOut()).isEmpty();
+  }
+}
--- /dev/null
+++ b/limpet-entry/src/test/java/org/limpetring/entry/group/FormationTest.java
@@ -0,0 +1,124 @@
+package org.limpetring.entry.group;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Objects;
+import java.util.Set;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import net.jqwik.api.constraints.Size;
+import org.junit.jupiter.api.Test;
+import org.limpetring.entry.TestData;
+import org.limpetring.entry.model.EngineSpec;
+import org.limpetring.entry.model.ModelSpec;
+
+final class FormationTest {
+
+  private static final EngineSpec ENGINE = TestData.engine();
+
+  @Test
+  void firstGroupsKeepOneModelInEachFabricDomain() {
+    List<FreeHost> free = new ArrayList<>();
+    for (int domain = 0; domain < 6; domain++) {
+      for (int i = 0; i < 9; i++) {
+        free.add(new FreeHost("h" + domain + i, "d" + domain, null, null, null));
+      }
+    }
+    Formation.Decision decision = decide(free, Integer.MAX_VALUE);
+    Map<String, Set<String>> modelsByDomain = new HashMap<>();
+    Map<String, Integer> groups = new HashMap<>();
+    for (Formation.NewGroup group : decision.groups()) {
+      modelsByDomain
+          .computeIfAbsent(group.members().get(0).substring(0, 2), key -> new HashSet<>())
+          .add(group.model());
+      groups.merge(group.model(), 1, Integer::sum);
+    }
+    modelsByDomain.values().forEach(models -> assertThat(models).hasSize(1));
+    assertThat(groups.get("large")).isAtLeast(6);
+    assertThat(groups.get("small")).isAtLeast(6);
+  }
+
+  @Test
+  void survivorsOfTwoGroupsMakeAWholeOne() {
+    List<FreeHost> free =
+        List.of(
+            new FreeHost("a1", "d", "large", null, "large"),
+            new FreeHost("a2", "d", "large", null, "large"),
+            new FreeHost("b1", "d", "large", null, "large"),
+            new FreeHost("b2", "d", "large", null, "large"));
+    Formation.Decision decision = decide(free, 0);
+    assertThat(decision.groups()).hasSize(1);
+    assertThat(decision.groups().get(0).loads()).isEqualTo(0);
+  }
+
+  @Test
+  void aSpareThatWasWarmedIsPreferred() {
+    List<FreeHost> free =
+        List.of(
+            new FreeHost("a", "d", "small", null, null),
+            new FreeHost("b", "d", "small", null, "small"),
+            new FreeHost("c", "d", "small", null, "small"),
+            new FreeHost("e", "d", "small", null, "small"));
+    assertThat(decide(free, 0).groups().get(0).members()).containsExactly("b", "c", "e");
+  }
+
+  @Test
+  void aLoneEmptyHostLoadsTheModelOfItsFabricDomain() {
+    Map<String, Map<String, Integer>> held = new HashMap<>();
+    held.put("d", new HashMap<>(Map.of("large", 8)));
+    Formation.Decision decision =
+        Formation.decide(
+            ENGINE,
+            List.of(new FreeHost("new", "d", null, null, null)),
+            Map.of("large", 2, "small", 3),
+            held,
+            1);
+    assertThat(decision.stagings()).containsExactly(new Formation.Staging("new", "large"));
+  }
+
+  @Test
+  void noLoadBeginsBeyondTheRate() {
+    List<FreeHost> free = List.of(new FreeHost("x", "d", null, null, null));
+    assertThat(decide(free, 0).stagings()).isEmpty();
+  }
+
+  @Property(tries = 200)
+  void eachHostIsUsedOnceAndGroupsAreWholeAndOfOneFabricDomain(
+      @ForAll @Size(max = 40) List<@IntRange(min = 0, max = 8) Integer> kinds,
+      @ForAll @IntRange(max = 12) int loadsLeft) {
+    List<FreeHost> free = new ArrayList<>();
+    Map<String, String> domains = new HashMap<>();
+    for (int i = 0; i < kinds.size(); i++) {
+      int kind = kinds.get(i);
+      String staged = kind % 3 == 0 ? null : kind % 3 == 1 ? "large" : "small";
+      FreeHost host = new FreeHost("h" + i, "d" + kind / 3, staged, null, null);
+      free.add(host);
+      domains.put(host.id(), host.fabricDomain());
+    }
+    Formation.Decision decision = decide(free, loadsLeft);
+    Set<String> used = new HashSet<>();
+    for (Formation.NewGroup group : decision.groups()) {
+      ModelSpec model = Objects.requireNonNull(ENGINE.model(group.model()));
+      assertThat(group.members()).hasSize(model.groupSize());
+      Set<String> groupDomains = new HashSet<>();
+      for (String member : group.members()) {
+        assertThat(used.add(member)).isTrue();
+        groupDomains.add(domains.get(member));
+      }
+      assertThat(groupDomains).hasSize(1);
+    }
+    for (Formation.Staging staging : decision.stagings()) {
+      assertThat(used.add(staging.host())).isTrue();
+    }
+  }
+
+  private static Formation.Decision decide(List<FreeHost> free, int loadsLeft) {
+    return Formation.decide(ENGINE, free, Map.of(), new HashMap<>(), loadsLeft);
+  }
+}
--- /dev/null
+++ b/limpet-entry/src/test/java/org/limpetring/entry/place/AdmissionTest.java
@@ -0,0 +1,99 @@
+package org.limpetring.entry.place;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.limpetring.entry.TestData;
+import org.limpetring.entry.model.EngineSpec;
+import org.limpetring.entry.model.ModelSpec;
+
+final class AdmissionTest {
+
+  private static final EngineSpec ENGINE = TestData.engine();
+  private static final ModelSpec MODEL = ENGINE.models().get(0);
+
+  private static Place place(String id, int inFlight) {
+    Place place = new Place(id, TestData.host(id, 1, "large", null), ENGINE, MODEL);
+    place.setPeerInFlight(inFlight);
+    return place;
+  }
+
+  private static Demand demand(boolean isReturned) {
+    return new Demand(1, 1_000, isReturned ? -100 : 300, 5_000, isReturned, 0);
+  }
+
+  private static Verdict decide(Demand demand, List<Place> places, int ahead) {
+    return Admission.decide(demand, places, ahead, 3, place -> 0, 0);
+  }
+
+  @Test
+  void theEmptierGroupIsTaken() {
+    Place busy = place("busy", 12);
+    Place idle = place("idle", 2);
+    assertThat(decide(demand(false), List.of(busy, idle), 0)).isEqualTo(new Verdict.Send(idle));
+  }
+
+  @Test
+  void aNearerGroupIsTakenWhereBothAreIdle() {
+    Place far = place("far", 0);
+    Place near = place("near", 0);
+    Verdict verdict =
+        Admission.decide(demand(false), List.of(far, near), 0, 3, each -> each == far ? 12 : 0, 0);
+    assertThat(verdict).isEqualTo(new Verdict.Send(near));
+  }
+
+  @Test
+  void nothingServesIsRefusedAtOnceWithAPause() {
+    Verdict verdict = decide(demand(false), List.of(), 0);
+    assertThat(verdict).isInstanceOf(Verdict.Refuse.class);
+    assertThat(((Verdict.Refuse) verdict).retryAfterMs()).isGreaterThan(0);
+  }
+
+  /** All places are taken and many wait: a place comes too late to be on time. */
+  @Test
+  void theHopelessIsRefusedAtOnceUnderOverload() {
+    List<Place> full = List.of(place("a", 18), place("b", 18));
+    assertThat(decide(demand(false), full, 40)).isInstanceOf(Verdict.Refuse.class);
+  }
+
+  @Test
+  void aShortWaitIsTakenWhilePlacesFreeUpQuickly() {
+    List<Place> full =
+        List.of(place("a", 18), place("b", 18), place("c", 18), place("d", 18), place("e", 18));
+    assertThat(decide(demand(false), full, 0)).isInstanceOf(Verdict.Wait.class);
+  }
+
+  @Test
+  void whoCameBackAfterARefusalWaitsLongerThanANewArrivalMay() {
+    List<Place> full = List.of(place("a", 18), place("b", 18));
+    Verdict verdict = decide(demand(true), full, 2);
+    assertThat(verdict).isInstanceOf(Verdict.Wait.class);
+    assertThat(((Verdict.Wait) verdict).untilMs()).isGreaterThan(demand(false).onTimeUntilMs());
+  }
+
+  @Test
+  void aSuspectedOrRestingPlaceGetsNothing() {
+    Place suspected = place("s", 0);
+    suspected.suspectUntil(100);
+    Place failing = place("f", 0);
+    for (int i = 0; i < 10; i++) {
+      failing.onOutcome(false, 0);
+    }
+    assertThat(Admission.best(demand(false), List.of(suspected, failing), each -> 0, 0)).isNull();
+    assertThat(Admission.best(demand(false), List.of(suspected), each -> 0, 101))
+        .isEqualTo(suspected);
+  }
+
+  @Test
+  void waitingRequestsAreOrderedByRankThenTimeLeft() {
+    WaitQueue<String> queue = new WaitQueue<>();
+    queue.add(new Demand(1, 0, 900, 0, false, 0), "late limit");
+    queue.add(new Demand(1, 0, 300, 0, false, 0), "early limit");
+    queue.add(new Demand(0, 0, 900, 0, false, 0), "high rank");
+    queue.add(new Demand(1, 0, 100, 0, true, 0), "returned");
+    assertThat(queue.inOrder().stream().map(WaitQueue.Waiting::request).toList())
+        .containsExactly("high rank", "early limit", "late limit", "returned")
+        .inOrder();
+  }
+}
--- a/limpet-entryd/src/main/java/org/limpetring/entryd/StartRehearsal.java
+++ b/limpet-entryd/src/main/java/org/limpetring/entryd/StartRehearsal.java
@@ -41,10 +41,11 @@
             1_000,
             new EntrySettings.Bounds(1_000, 1_000, 1_000, 0.2, 10, 10_000));
     DecisionLog log = DecisionLog.standardOutput();
-    new EntryDaemon(settings, new UsersPlatform(settings.storeAddress()), log).start();
+    UsersPlatform platform = new UsersPlatform(settings.storeAddress());
+    new EntryDaemon(settings, platform, log).start();
     int status = 1;
     try {
-      ask(settings.readyAddress(), "/api/ready");
+      ask(settings.readyAddress(), platform.format().readyPath());
       ask(settings.metricsAddress(), "/metrics");
       ask(settings.callerAddress(), "/rehearsal/");
       Thread.sleep(STEP_MS);
--- /dev/null
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/PlatformNamesTest.java
@@ -0,0 +1,44 @@
+package org.limpetring.entryd;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.Test;
+
+/** The platform's names stand in the adapter's folder only. */
+final class PlatformNamesTest {
+
+  private static final Pattern NAMES =
+      Pattern.compile(
+          "X-Limpetring-|/api/(objects|order|report|ready)|LIMPETRING_CONFIG|cold_left_ms"
+              + "|store_revision|At-Server|kv_used|api_keys");
+
+  @Test
+  void noNameOfThePlatformStandsOutsideTheAdapter() throws IOException {
+    List<String> found = new ArrayList<>();
+    try (Stream<Path> files = Files.walk(Path.of(".."))) {
+      List<Path> sources =
+          files
+              .filter(file -> file.toString().contains("/src/main/"))
+              .filter(file -> file.toString().endsWith(".java"))
+              .filter(file -> !file.startsWith(Path.of("..", "platform")))
+              .toList();
+      for (Path source : sources) {
+        int number = 0;
+        for (String line : Files.readAllLines(source)) {
+          number++;
+          if (NAMES.matcher(line).find()) {
+            found.add(source + ":" + number);
+          }
+        }
+      }
+    }
+    assertThat(found).isEmpty();
+  }
+}
--- a/limpet-routing/src/test/java/org/limpetring/routing/RequestPathConcurrencyTest.java
+++ b/limpet-routing/src/test/java/org/limpetring/routing/RequestPathConcurrencyTest.java
@@ -6,7 +6,9 @@
 import java.util.Set;
 import java.util.SplittableRandom;
 import org.jetbrains.lincheck.datastructures.Operation;
+import org.jetbrains.lincheck.datastructures.Param;
 import org.jetbrains.lincheck.datastructures.StressOptions;
+import org.jetbrains.lincheck.datastructures.ThreadIdGen;
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.limpetring.base.CallerId;
@@ -112,7 +114,14 @@
   public static class Cold {
 
     private final ColdGate gate = new ColdGate(SELF, ColdSettings.DEFAULT);
-    private final Deque<ColdPermit> permits = new ArrayDeque<>();
+
+    /**
+     * Permits by the thread that holds them. One queue for all threads made the scenario itself not
+     * linearizable: between the gate's grant and the entry in the queue another thread saw the
+     * permit in use, but could not release it.
+     */
+    private final List<Deque<ColdPermit>> permits =
+        List.of(new ArrayDeque<>(), new ArrayDeque<>(), new ArrayDeque<>(), new ArrayDeque<>());
 
     /** The only daemon of a roster that has rested. */
     public Cold() {
@@ -121,12 +130,10 @@
 
     /** Acquires a permit; tells whether granted. */
     @Operation
-    public boolean acquire() {
+    public boolean acquire(@Param(gen = ThreadIdGen.class) int thread) {
       ColdAnswer answer = gate.tryAcquire(GROUP, 4, 10, true, FAR_MS);
       if (answer instanceof ColdAnswer.Granted granted) {
-        synchronized (permits) {
-          permits.addLast(granted.permit());
-        }
+        permits.get(thread).addLast(granted.permit());
         return true;
       }
       return false;
@@ -138,15 +145,12 @@
       return gate.inUse(GROUP.id(), FAR_MS);
     }
 
-    /** Releases a permit that was granted; tells whether there was one. */
+    /** Releases a permit of the same thread; tells whether there was one. */
     @Operation
-    public boolean release() {
-      @Nullable ColdPermit permit;
-      synchronized (permits) {
-        permit = permits.pollFirst();
-        if (permit != null) {
-          gate.release(permit, false);
-        }
+    public boolean release(@Param(gen = ThreadIdGen.class) int thread) {
+      @Nullable ColdPermit permit = permits.get(thread).pollFirst();
+      if (permit != null) {
+        gate.release(permit, false);
       }
       return permit != null;
     }
