--- /dev/null
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
@@ -0,0 +1,245 @@
+package org.limpetring.entryd;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.awaitility.Awaitility.await;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpRequest;
+import java.net.http.HttpRequest.BodyPublishers;
+import java.net.http.HttpResponse;
+import java.net.http.HttpResponse.BodyHandlers;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.limpetring.base.Clock;
+import org.limpetring.entry.DecisionLog;
+import org.limpetring.entry.EntryDaemon;
+import org.limpetring.entry.model.EntrySettings;
+import org.limpetring.entryd.StandinUpstream.Fault;
+import org.limpetring.platform.UsersPlatform;
+
+/** The whole path in one process: callers, daemon, store, engines and a plain service. */
+final class WholePathTest {
+
+  private static final String WHOLE =
+      "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\nid: 4\ndata: e4\n\nid: 5\ndata: e5\n\n";
+
+  private final HttpClient client =
+      HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
+  private final List<StandinUpstream> engines = new ArrayList<>();
+  private StandinPlatform store;
+  private StandinUpstream plain;
+  private EntrySettings settings;
+  private int requests;
+
+  @BeforeEach
+  void start() throws IOException {
+    store = new StandinPlatform();
+    store.put("config", "main", config(3, "k"));
+    for (String id : List.of("i-1", "i-2", "i-3", "i-4")) {
+      engines.add(new StandinUpstream(id, "engines", true, store));
+    }
+    plain = new StandinUpstream("p-1", "plain", false, store);
+    store.put("servers", "odd", "{\"service\":5}");
+    settings =
+        new EntrySettings(
+            "d1",
+            "a",
+            List.of("a"),
+            free(),
+            free(),
+            free(),
+            free(),
+            store.address(),
+            true,
+            1_200,
+            1_000,
+            new EntrySettings.Bounds(2_000, 8_000, 5_000, 0.2, 136, 10_000));
+    DecisionLog log = new DecisionLog(new ByteArrayOutputStream(), Clock.wall());
+    new EntryDaemon(settings, new UsersPlatform(store.address()), log).start();
+    await().atMost(Duration.ofSeconds(20)).until(() -> ask("/s/x", "k").statusCode() == 200);
+  }
+
+  @AfterEach
+  void stop() throws IOException {
+    for (StandinUpstream engine : engines) {
+      engine.close();
+    }
+    plain.close();
+    store.close();
+  }
+
+  private static InetSocketAddress free() throws IOException {
+    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
+      return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
+    }
+  }
+
+  private static String config(int version, String key) {
+    return ("{\"version\":%d,\"routes\":["
+            + route("s", "streaming", "engines", true)
+            + ","
+            + route("o", "non_idempotent", "plain", false)
+            + ","
+            + route("r", "idempotent", "plain", false)
+            + "],\"services\":[{\"name\":\"engines\",\"max_conns\":100,\"engine\":{\"slots\":4,"
+            + "\"step_ms\":5,\"read_per_s\":50000,\"stride\":7,\"chunk\":2048,\"loads_per_s\":4.5,"
+            + "\"loads_at_once\":6,\"usual\":{\"prompt\":100,\"answer\":50},\"models\":[{\"name\":\"m\","
+            + "\"size\":2,\"share\":1,\"pace\":1,\"load_s\":1,\"warm_s\":0.1}]}},"
+            + "{\"name\":\"plain\",\"max_conns\":100}],"
+            + "\"tenants\":[{\"name\":\"team\",\"api_keys\":[\"%s\"]}],\"limits\":{}}")
+        .formatted(version, key);
+  }
+
+  private static String route(String prefix, String kind, String service, boolean isResumable) {
+    return "{\"name\":\"%s\",\"host\":\"127.0.0.1\",\"prefix\":\"/%s/\",\"kind\":\"%s\",\"timeout_ms\":3000,\"slo_ms\":500,\"attempts\":2,\"priority\":1,\"resumable\":%s,\"service\":\"%s\"}"
+        .formatted(prefix, prefix, kind, isResumable, service);
+  }
+
+  private HttpResponse<String> ask(String path, String key)
+      throws IOException, InterruptedException {
+    InetSocketAddress address = settings.callerAddress();
+    HttpRequest request =
+        HttpRequest.newBuilder(URI.create("http://127.0.0.1:" + address.getPort() + path))
+            .header("X-Limpetring-Request-Id", "q" + requests++)
+            .header("X-Limpetring-Request-Deadline", "3000")
+            .header("X-Limpetring-Key", key)
+            .header("X-Limpetring-Model", "m")
+            .timeout(Duration.ofSeconds(10))
+            .POST(BodyPublishers.ofString("body"))
+            .build();
+    return client.send(request, BodyHandlers.ofString());
+  }
+
+  private void failNextStream(Fault fault) {
+    engines.forEach(engine -> engine.setFault(fault));
+  }
+
+  @Test
+  void aStreamIsPassedOnWhole() throws Exception {
+    HttpResponse<String> answer = ask("/s/x", "k");
+    assertThat(answer.body()).isEqualTo(WHOLE);
+    assertThat(answer.headers().firstValue("X-Limpetring-Server-Seal").orElse(""))
+        .startsWith("seal-");
+  }
+
+  @Test
+  void aStreamThatBreaksGoesOnAtAnotherGroupInTheSameAnswer() throws Exception {
+    for (Fault fault : List.of(Fault.BREAK_AFTER_ONE_EVENT, Fault.BREAK_INSIDE_AN_EVENT)) {
+      failNextStream(fault);
+      assertThat(ask("/s/x", "k").body()).isEqualTo(WHOLE);
+      failNextStream(Fault.NONE);
+    }
+  }
+
+  @Test
+  void nonIdempotentWorkThatMayHaveRunIsNotSentAgainAndNotCalledNotRun() throws Exception {
+    plain.received.clear();
+    plain.setFault(Fault.RESET_AFTER_READING);
+    HttpResponse<String> answer = ask("/o/x", "k");
+    assertThat(answer.statusCode()).isEqualTo(502);
+    assertThat(plain.received).hasSize(1);
+  }
+
+  @Test
+  void aShortOrUnsignedAnswerIsNoSuccess() throws Exception {
+    for (Fault fault : List.of(Fault.SHORT_BODY, Fault.NO_SEAL)) {
+      plain.setFault(fault);
+      assertThat(ask("/o/x", "k").statusCode()).isEqualTo(502);
+    }
+  }
+
+  @Test
+  void anotherRequestsAnswerIsSkipped() throws Exception {
+    plain.setFault(Fault.OTHER_REQUESTS_ANSWER_FIRST);
+    assertThat(ask("/o/x", "k").body()).isEqualTo("answer of p-1");
+  }
+
+  @Test
+  void aRefusalByTheUpstreamIsSaidToBeNotRunWithAPause() throws Exception {
+    plain.setFault(Fault.NOT_EXECUTED);
+    HttpResponse<String> answer = ask("/o/x", "k");
+    assertThat(answer.statusCode()).isEqualTo(503);
+    assertThat(answer.headers().firstValue("Retry-After")).isPresent();
+  }
+
+  @Test
+  void keysAndRoutesAreChecked() throws Exception {
+    assertThat(ask("/s/x", "wrong").statusCode()).isEqualTo(401);
+    assertThat(ask("/unknown/x", "k").statusCode()).isEqualTo(404);
+    assertThat(plain.received.stream().anyMatch(each -> each.containsKey("x-limpetring-key")))
+        .isFalse();
+  }
+
+  @Test
+  void aNewConfigurationIsInForceWithinTheBound() {
+    store.put("config", "main", config(9, "k2"));
+    await().atMost(Duration.ofSeconds(2)).until(() -> ask("/r/x", "k").statusCode() == 401);
+    await().atMost(Duration.ofSeconds(2)).until(() -> ask("/r/x", "k2").statusCode() == 200);
+  }
+
+  @Test
+  void anOutageOfTheStoreStopsNoRequest() throws Exception {
+    store.setDown(true);
+    for (int i = 0; i < 10; i++) {
+      assertThat(ask("/r/x", "k").statusCode()).isEqualTo(200);
+      assertThat(ask("/s/x", "k").body()).isEqualTo(WHOLE);
+    }
+    store.setDown(false);
+  }
+
+  @Test
+  void aLeavingUpstreamGetsNoNewWork() throws Exception {
+    plain.list("draining");
+    await().atMost(Duration.ofSeconds(2)).until(() -> ask("/r/x", "k").statusCode() == 503);
+    plain.list("ready");
+    await().atMost(Duration.ofSeconds(2)).until(() -> ask("/r/x", "k").statusCode() == 200);
+  }
+
+  @Test
+  void pipelinedRequestsAreAnsweredInOrder() throws Exception {
+    String request =
+        "POST /r/x HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Limpetring-Request-Id: %s\r\n"
+            + "X-Limpetring-Request-Deadline: 3000\r\nX-Limpetring-Key: k\r\nContent-Length: 0\r\n\r\n";
+    try (Socket socket =
+        new Socket(InetAddress.getLoopbackAddress(), settings.callerAddress().getPort())) {
+      socket.setSoTimeout(5_000);
+      socket
+          .getOutputStream()
+          .write(
+              (request.formatted("p1") + request.formatted("p2"))
+                  .getBytes(StandardCharsets.ISO_8859_1));
+      StringBuilder read = new StringBuilder();
+      byte[] buffer = new byte[4_096];
+      while (!read.toString().contains("p2") || !read.toString().endsWith("answer of p-1")) {
+        int count = socket.getInputStream().read(buffer);
+        assertThat(count).isGreaterThan(0);
+        read.append(new String(buffer, 0, count, StandardCharsets.ISO_8859_1));
+      }
+      assertThat(read.indexOf("p1")).isLessThan(read.indexOf("p2"));
+    }
+  }
+
+  @Test
+  void bytesThatAreNoRequestGetTheirStatus() throws Exception {
+    try (Socket socket =
+        new Socket(InetAddress.getLoopbackAddress(), settings.callerAddress().getPort())) {
+      socket.setSoTimeout(5_000);
+      socket.getOutputStream().write("GARBAGE\r\n\r\n".getBytes(StandardCharsets.ISO_8859_1));
+      String answer =
+          new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+      assertThat(answer).startsWith("HTTP/1.1 400");
+    }
+  }
+}
