First groups after a longer pause in the list's growth; spares kept for large groups; fewer watches

Watches of all daemons on every change of an entry cost most of the prices. Change: pause 1.2 s; only the planner watches entries without a pause, the others are told of opened groups; a fabric domain keeps spares of its main model.

--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
@@ -277,6 +277,12 @@
 
   // admission
 
+  /** Whether a place takes requests, as far as this daemon knows. */
+  boolean knowsPlace(String placeKey) {
+    refreshIndex();
+    return places.containsKey(placeKey);
+  }
+
   /** Whether any request has come since the start. */
   boolean isTrafficSeen() {
     return isTrafficSeen;
--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
@@ -6,9 +6,11 @@
 import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import org.jspecify.annotations.Nullable;
 import org.limpetring.base.Clock;
 import org.limpetring.base.LogEvent;
@@ -55,11 +57,11 @@
 
   private static final long SWEEP_MS = 1_000;
 
-  /** Gathers changes that come together; far below the bounds on drains and configuration. */
-  private static final long REARM_MS = 250;
+  /** Gathers changes that come together. */
+  private static final long REARM_MS = 30;
 
-  /** The planner acts on each change of a group, so it waits less. */
-  private static final long PLANNER_REARM_MS = 30;
+  /** Half of the shortest time in which new work to a leaving upstream has to end. */
+  private static final long UPSTREAM_REARM_MS = 900;
 
   /** Interval of a few daemons' datagrams; grows with their number so that the bytes do not. */
   private static final long MIN_PEER_MS = 150;
@@ -98,6 +100,7 @@
   private long peerSequence = Clock.wall().nowMs();
   private long sentPeersMs = Long.MIN_VALUE / 2;
   private long sweptMs = Long.MIN_VALUE / 2;
+  private final Set<String> hurriedPlaces = new HashSet<>();
   private boolean wasReady;
   private long stopMs = Long.MAX_VALUE;
 
@@ -127,20 +130,19 @@
             metrics,
             settings.bounds().stallMs());
     this.link = new PeerLink(loop, log, this::onPeer);
-    this.configFeed = feed(ObjectKind.CONFIG, new ConfigListener());
-    this.upstreamFeed = feed(ObjectKind.UPSTREAMS, new UpstreamListener());
-    this.domainFeed = feed(ObjectKind.DOMAINS_OUT, new DomainListener());
+    this.configFeed = feed(ObjectKind.CONFIG, new ConfigListener(), () -> REARM_MS);
+    this.upstreamFeed = feed(ObjectKind.UPSTREAMS, new UpstreamListener(), this::upstreamRearmMs);
+    this.domainFeed = feed(ObjectKind.DOMAINS_OUT, new DomainListener(), () -> REARM_MS);
   }
 
-  private <T> KindFeed<T> feed(ObjectKind<T> kind, KindFeed.Listener<T> listener) {
-    return new KindFeed<>(
-        kind,
-        store,
-        loop,
-        clock,
-        log,
-        listener,
-        () -> role.isPlanner() ? PLANNER_REARM_MS : REARM_MS);
+  /** Entries of upstreams change often; only the planner has to act on each change at once. */
+  private long upstreamRearmMs() {
+    return role.isPlanner() ? REARM_MS : UPSTREAM_REARM_MS;
+  }
+
+  private <T> KindFeed<T> feed(
+      ObjectKind<T> kind, KindFeed.Listener<T> listener, LongSupplier rearmMs) {
+    return new KindFeed<>(kind, store, loop, clock, log, listener, rearmMs);
   }
 
   /** Opens the sockets and begins to work. */
@@ -328,12 +330,22 @@
       feeds.get(i).onHint(state.revisions().get(i));
     }
     if (state.isPlanner() && state.term() >= role.term()) {
+      for (String opened : state.openedPlaces()) {
+        hurryUpstreams(opened);
+      }
       for (String ended : state.endedPlaces()) {
         core.onGroupEnding(ended, "planner " + state.name() + " ends it");
       }
     }
   }
 
+  /** The planner has opened a group; looks at the list at once if it does not stand there yet. */
+  private void hurryUpstreams(String placeKey) {
+    if (!core.knowsPlace(placeKey) && hurriedPlaces.add(placeKey)) {
+      upstreamFeed.hurry();
+    }
+  }
+
   /** Feeds in the order of the revisions that daemons tell each other. */
   private List<KindFeed<?>> feeds() {
     return List.of(configFeed, upstreamFeed, domainFeed);
@@ -356,6 +368,10 @@
     for (PlannedGroup group : keeper.ending()) {
       ended.add(EntryCore.placeKey(group.head(), group.name(), group.epoch()));
     }
+    List<String> opened = new ArrayList<>();
+    for (PlannedGroup group : keeper.opened()) {
+      opened.add(EntryCore.placeKey(group.head(), group.name(), group.epoch()));
+    }
     return new PeerState(
         settings.daemonName(),
         settings.failureDomain(),
@@ -365,6 +381,7 @@
         isStopping,
         feeds().stream().map(KindFeed::newestRevision).toList(),
         core.loads(),
+        opened,
         ended);
   }
 
--- a/limpet-entry/src/main/java/org/limpetring/entry/KindFeed.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/KindFeed.java
@@ -62,6 +62,7 @@
   private long confirmedMs;
   private long troubledMs = Long.MIN_VALUE / 2;
   private boolean isLost;
+  private boolean isPausing;
   private long newestRevision;
   private long behindSinceMs = Long.MAX_VALUE;
   private long hintedMs;
@@ -109,7 +110,8 @@
       return;
     }
     behindSinceMs = Math.min(behindSinceMs, nowMs);
-    if (nowMs - behindSinceMs < BEHIND_MS || nowMs - hintedMs < BEHIND_MS) {
+    long patienceMs = BEHIND_MS + rearmMs.getAsLong();
+    if (nowMs - behindSinceMs < patienceMs || nowMs - hintedMs < patienceMs) {
       return;
     }
     hintedMs = nowMs;
@@ -185,7 +187,20 @@
       return;
     }
     take(changes, listener::onChanges);
-    schedule(this::watch, rearmMs.getAsLong());
+    isPausing = true;
+    schedule(this::endPause, rearmMs.getAsLong());
+  }
+
+  /** Ends the pause before the next watch, since something of interest has changed. */
+  void hurry() {
+    endPause();
+  }
+
+  private void endPause() {
+    if (isPausing) {
+      isPausing = false;
+      watch();
+    }
   }
 
   private void confirmed() {
--- a/limpet-entry/src/main/java/org/limpetring/entry/group/Formation.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/Formation.java
@@ -33,6 +33,9 @@
   /** Share of hosts that are being replaced at any time; a larger group is whole less often. */
   private static final double HOST_LOSS = 0.05;
 
+  /** Spares of a fabric domain's main model, as a part of the hosts that hold it. */
+  private static final double SPARE_PART = 0.08;
+
   /** Preference for the model of a fabric domain, whose survivors can complete a group. */
   private static final double MAIN_MODEL_WEIGHT = 4;
 
@@ -144,8 +147,13 @@
     for (Map.Entry<String, List<FreeHost>> domain : freeByDomain.entrySet()) {
       List<FreeHost> empty = empty(domain.getValue());
       ModelSpec main = mainModel(domain.getKey());
-      boolean mayTakeModel = main == null || main.equals(model) || empty.size() < main.groupSize();
-      if (mayTakeModel && empty.size() >= model.groupSize()) {
+      boolean mayTakeModel = true;
+      int reserve = 0;
+      if (main != null && !main.equals(model)) {
+        mayTakeModel = empty.size() < main.groupSize();
+        reserve = spares(domain.getKey(), main);
+      }
+      if (mayTakeModel && empty.size() - reserve >= model.groupSize()) {
         form(model, empty.subList(0, model.groupSize()), domain.getValue(), model.groupSize());
         return true;
       }
@@ -153,6 +161,12 @@
     return false;
   }
 
+  /** Hosts that a fabric domain keeps for its main model, to replace lost members at once. */
+  private int spares(String domain, ModelSpec main) {
+    int held = modelsByDomain.getOrDefault(domain, Map.of()).getOrDefault(main.name(), 0);
+    return (int) Math.ceil(held * SPARE_PART);
+  }
+
   private static List<FreeHost> empty(List<FreeHost> hosts) {
     List<FreeHost> empty = new ArrayList<>();
     for (FreeHost host : hosts) {
--- a/limpet-entry/src/main/java/org/limpetring/entry/group/GroupKeeper.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/GroupKeeper.java
@@ -91,11 +91,14 @@
   /** A forming group that takes this much longer than its load is given up. */
   private static final long FORM_SLACK_MS = 6_000;
 
+  /** Others are told of an open group this long; their own watches show it by then. */
+  private static final long TOLD_MS = 2_500;
+
   /** Begins the names of groups of one host that never open. */
   private static final String SPARE = "spare-";
 
-  /** Pause in the growth of the list after which the first groups form. */
-  private static final long SETTLE_MS = 500;
+  /** Pause in the list's growth after which the first groups form; above the pause of a watch. */
+  private static final long SETTLE_MS = 1_200;
 
   private static final double LOAD_RATE_PART = 0.8;
   private static final double MS_PER_S = 1_000;
@@ -108,6 +111,7 @@
     final Map<String, Long> joinSentMs = new HashMap<>();
     final Map<String, Integer> silentProbes = new HashMap<>();
     long openSentMs = Long.MIN_VALUE / 2;
+    long openedMs = Long.MIN_VALUE / 2;
     long leaveSentMs = Long.MIN_VALUE / 2;
     long endingSinceMs;
     long probedMs = Long.MIN_VALUE / 2;
@@ -195,6 +199,18 @@
     return groups;
   }
 
+  /** Groups that opened lately, for the other daemons. */
+  public List<PlannedGroup> opened() {
+    long nowMs = clock.nowMs();
+    List<PlannedGroup> groups = new ArrayList<>();
+    for (Work work : works.values()) {
+      if (work.group.phase() == Phase.OPENED && nowMs - work.openedMs < TOLD_MS) {
+        groups.add(work.group);
+      }
+    }
+    return groups;
+  }
+
   /** Takes one step of all groups. */
   public void tick() {
     if (!role.isPlanner()) {
@@ -350,6 +366,7 @@
 
   private void opened(Work work, long nowMs) {
     work.group = work.group.in(Phase.OPENED);
+    work.openedMs = nowMs;
     work.mayBeOpen = true;
     log.write(
         LogEvent.GROUP_OPENED,
@@ -721,7 +738,7 @@
                 lastModels.get(upstream.life())));
       }
     }
-    count(service, groupsByModel, free, loading, nowMs);
+    count(service, engine, groupsByModel, free, loading, nowMs);
     refillLoads(engine, nowMs);
     int loadsLeft =
         surroundings.isTrafficSeen()
@@ -753,6 +770,7 @@
   /** Logs, once a second, how the pool's hosts are used. */
   private void count(
       String service,
+      EngineSpec engine,
       Map<String, Integer> groupsByModel,
       List<FreeHost> free,
       int loading,
@@ -777,6 +795,8 @@
         service,
         "groups",
         groupsByModel,
+        "models",
+        engine.models(),
         "ending",
         unreachable,
         "spares",
--- a/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerState.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerState.java
@@ -17,6 +17,7 @@
  * @param isStopping whether the sender is about to end
  * @param revisions per kind, the store's revision of the newest object that the sender knows
  * @param loads requests in progress by place
+ * @param openedPlaces places whose groups the sender, as planner, has lately seen open
  * @param endedPlaces places whose groups the sender, as planner, has lately taken apart
  */
 public record PeerState(
@@ -28,6 +29,7 @@
     boolean isStopping,
     List<Long> revisions,
     List<Load> loads,
+    List<String> openedPlaces,
     List<String> endedPlaces) {
 
   /** One place's load at the sender. */
@@ -42,6 +44,7 @@
   private static final int LOAD = 7;
   private static final int ENDED_PLACE = 8;
   private static final int REVISION = 9;
+  private static final int OPENED_PLACE = 10;
   private static final int LOAD_KEY = 1;
   private static final int LOAD_IN_FLIGHT = 2;
   private static final int LOAD_SUSPECTED = 3;
@@ -50,6 +53,7 @@
   public PeerState {
     revisions = List.copyOf(revisions);
     loads = List.copyOf(loads);
+    openedPlaces = List.copyOf(openedPlaces);
     endedPlaces = List.copyOf(endedPlaces);
   }
 
@@ -70,6 +74,9 @@
       for (long revision : revisions) {
         out.writeInt64(REVISION, revision);
       }
+      for (String opened : openedPlaces) {
+        out.writeString(OPENED_PLACE, opened);
+      }
       for (String ended : endedPlaces) {
         out.writeString(ENDED_PLACE, ended);
       }
@@ -105,6 +112,7 @@
     boolean isStopping = false;
     List<Load> loads = new ArrayList<>();
     List<String> endedPlaces = new ArrayList<>();
+    List<String> openedPlaces = new ArrayList<>();
     List<Long> revisions = new ArrayList<>();
     for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
       switch (WireFormat.getTagFieldNumber(tag)) {
@@ -116,6 +124,7 @@
         case IS_STOPPING -> isStopping = in.readBool();
         case LOAD -> loads.add(decodeLoad(in.readByteArray()));
         case REVISION -> revisions.add(in.readInt64());
+        case OPENED_PLACE -> openedPlaces.add(in.readString());
         case ENDED_PLACE -> endedPlaces.add(in.readString());
         default -> in.skipField(tag);
       }
@@ -124,7 +133,16 @@
       throw new IOException("no name");
     }
     return new PeerState(
-        name, failureDomain, sequence, term, isPlanner, isStopping, revisions, loads, endedPlaces);
+        name,
+        failureDomain,
+        sequence,
+        term,
+        isPlanner,
+        isStopping,
+        revisions,
+        loads,
+        openedPlaces,
+        endedPlaces);
   }
 
   private static Load decodeLoad(byte[] bytes) throws IOException {
--- a/limpet-entry/src/test/java/org/limpetring/entry/peer/PeerStateTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/peer/PeerStateTest.java
@@ -22,6 +22,7 @@
         false,
         List.of(11L, 22L, 33L),
         List.of(new PeerState.Load("h/g/1", inFlight, isSuspected)),
+        List.of("y/g/3"),
         List.of("x/g/2"));
   }
 
