--- a/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
@@ -30,6 +30,7 @@
 import org.limpetring.entry.net.SendFailure;
 import org.limpetring.entry.place.Demand;
 import org.limpetring.entry.place.Place;
+import org.limpetring.entry.place.RepeatRule;
 import org.limpetring.entry.port.AnswerHead;
 import org.limpetring.entry.port.CallerRequest;
 import org.limpetring.entry.port.SendTerms;
@@ -361,7 +362,8 @@
     boolean isFailure = head.status() >= 500;
     from.onOutcome(!isFailure, nowMs);
     ranCount++;
-    if (isFailure && route.isRepeatable() && canRunAgain()) {
+    boolean mayRepeat = RepeatRule.mayRepeat(route, runState, ranCount) && core.nowMs() < giveUpMs;
+    if (isFailure && mayRepeat) {
       retryOrPassOn("status " + head.status(), head);
       return;
     }
@@ -441,7 +443,7 @@
 
   /** The group that runs the request stands still; another takes over if that is allowed. */
   void onGroupLost(String reason) {
-    if (isOver || exchange == null || !route.isRepeatable()) {
+    if (isOver || exchange == null || !RepeatRule.mayMove(route, ranCount)) {
       return;
     }
     cancelExchange();
@@ -450,10 +452,6 @@
     retryOrFail(reason, ResultCode.UPSTREAM_LOST);
   }
 
-  private boolean canRunAgain() {
-    return ranCount < Math.max(1, route.attempts()) && core.nowMs() < giveUpMs;
-  }
-
   private void retryOrPassOn(String reason, AnswerHead head) {
     if (!core.budget().tryTake(service, core.daemons(), core.nowMs())) {
       passOn(head);
@@ -470,7 +468,7 @@
     if (events != null) {
       events.dropPartial();
     }
-    boolean isAllowed = runState == RunState.NOT_RUN || (route.isRepeatable() && canRunAgain());
+    boolean isAllowed = RepeatRule.mayRepeat(route, runState, ranCount) && core.nowMs() < giveUpMs;
     if (isAllowed && core.budget().tryTake(service, core.daemons(), core.nowMs())) {
       core.metrics().repeat(reason);
       logRetry(reason);
--- /dev/null
+++ b/limpet-entry/src/test/java/org/limpetring/entry/place/RepeatRuleTest.java
@@ -0,0 +1,50 @@
+package org.limpetring.entry.place;
+
+import static com.google.common.truth.Truth.assertThat;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.limpetring.base.RunState;
+import org.limpetring.entry.model.RequestKind;
+import org.limpetring.entry.model.Route;
+
+final class RepeatRuleTest {
+
+  private static Route route(RequestKind kind, boolean isResumable, int attempts) {
+    return new Route(
+        "r",
+        "h",
+        "/",
+        kind,
+        1,
+        1,
+        attempts,
+        1,
+        false,
+        isResumable,
+        0,
+        List.of(new Route.Target("s", 1)));
+  }
+
+  private static final Route STREAM = route(RequestKind.STREAMING, true, 2);
+  private static final Route ORDER = route(RequestKind.NON_IDEMPOTENT, false, 2);
+
+  @Test
+  void workThatMayHaveRunIsRepeatedOnlyWhereTheRouteAllows() {
+    assertThat(RepeatRule.mayRepeat(ORDER, RunState.NOT_RUN, 0)).isTrue();
+    assertThat(RepeatRule.mayRepeat(ORDER, RunState.UNKNOWN, 1)).isFalse();
+    assertThat(RepeatRule.mayRepeat(ORDER, RunState.RAN, 1)).isFalse();
+    assertThat(RepeatRule.mayRepeat(STREAM, RunState.UNKNOWN, 1)).isTrue();
+    assertThat(RepeatRule.mayRepeat(STREAM, RunState.UNKNOWN, 2)).isFalse();
+    assertThat(RepeatRule.mayRepeat(route(RequestKind.STREAMING, false, 2), RunState.UNKNOWN, 1))
+        .isFalse();
+  }
+
+  /** A second run was cut because its group ended, though no third one was allowed. */
+  @Test
+  void theLastAllowedRunIsNotGivenUp() {
+    assertThat(RepeatRule.mayMove(STREAM, 0)).isTrue();
+    assertThat(RepeatRule.mayMove(STREAM, 1)).isFalse();
+    assertThat(RepeatRule.mayMove(ORDER, 0)).isFalse();
+  }
+}
