--- /dev/null
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/EntryLayersTest.java
@@ -0,0 +1,56 @@
+package org.limpetring.entryd;
+
+import static com.tngtech.archunit.lang.syntax.ArchRuleDefinition.noClasses;
+
+import com.tngtech.archunit.core.domain.JavaClasses;
+import com.tngtech.archunit.core.importer.ClassFileImporter;
+import com.tngtech.archunit.core.importer.ImportOption;
+import org.junit.jupiter.api.Test;
+
+/** The core knows no adapter, and its decisions no sockets. */
+final class EntryLayersTest {
+
+  private static final JavaClasses CLASSES =
+      new ClassFileImporter()
+          .withImportOption(new ImportOption.DoNotIncludeTests())
+          .importPackages("org.limpetring.entry", "org.limpetring.platform");
+
+  @Test
+  void theCoreDoesNotKnowThePlatform() {
+    noClasses()
+        .that()
+        .resideInAPackage("org.limpetring.entry..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAPackage("org.limpetring.platform..")
+        .check(CLASSES);
+  }
+
+  @Test
+  void valuesAndDecisionsOnRequestsKnowNoSockets() {
+    noClasses()
+        .that()
+        .resideInAnyPackage(
+            "org.limpetring.entry.model..",
+            "org.limpetring.entry.place..",
+            "org.limpetring.entry.route..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage("io.netty..", "org.limpetring.entry.net..")
+        .check(CLASSES);
+  }
+
+  @Test
+  void theAdapterUsesNoDecision() {
+    noClasses()
+        .that()
+        .resideInAPackage("org.limpetring.platform..")
+        .should()
+        .dependOnClassesThat()
+        .resideInAnyPackage(
+            "org.limpetring.entry.group..",
+            "org.limpetring.entry.place..",
+            "org.limpetring.entry.route..")
+        .check(CLASSES);
+  }
+}
