Planner in four parts; a group whose member vanished dead is not closed gently

Change: GroupWork, EngineOrders, HostProbes and HostSupply beside GroupKeeper; the vanished member is asked once, and the group is closed gently only if it answers. Tests for both.

--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/EngineOrders.java
@@ -0,0 +1,60 @@
+package org.limpetring.entry.group;
+
+import java.util.function.Consumer;
+import org.limpetring.base.Clock;
+import org.limpetring.base.LogEvent;
+import org.limpetring.entry.DecisionLog;
+import org.limpetring.entry.EntryMetrics;
+import org.limpetring.entry.model.Upstream;
+import org.limpetring.entry.port.EngineControl;
+import org.limpetring.entry.port.EngineOrder;
+import org.limpetring.entry.port.OrderReply;
+
+/** Sends the planner's orders, with a log line and a count for each answer. */
+final class EngineOrders {
+
+  /** Several times the way to an engine and back; what took longer is ordered again. */
+  private static final long ORDER_TIMEOUT_MS = 350;
+
+  private final PlannerRole role;
+  private final EngineControl engines;
+  private final Clock clock;
+  private final DecisionLog log;
+  private final EntryMetrics metrics;
+
+  EngineOrders(
+      PlannerRole role, EngineControl engines, Clock clock, DecisionLog log, EntryMetrics metrics) {
+    this.role = role;
+    this.engines = engines;
+    this.clock = clock;
+    this.log = log;
+    this.metrics = metrics;
+  }
+
+  /** Sends an order; {@code done} hears the answer while this daemon still plans. */
+  void send(Upstream engine, EngineOrder order, Consumer<OrderReply> done) {
+    long sentMs = clock.nowMs();
+    engines.order(
+        engine,
+        order,
+        ORDER_TIMEOUT_MS,
+        reply -> {
+          metrics.order(order.label(), reply.name());
+          log.write(
+              LogEvent.ORDER_ANSWERED,
+              "order",
+              order.toString(),
+              "upstream",
+              engine.id(),
+              "answer",
+              reply.name(),
+              "tookMs",
+              clock.nowMs() - sentMs,
+              "term",
+              role.term());
+          if (role.isPlanner()) {
+            done.accept(reply);
+          }
+        });
+  }
+}
--- a/limpet-entry/src/main/java/org/limpetring/entry/group/GroupKeeper.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/GroupKeeper.java
@@ -1,21 +1,17 @@
 package org.limpetring.entry.group;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.Objects;
 import java.util.Set;
-import java.util.TreeMap;
 import org.jspecify.annotations.Nullable;
 import org.limpetring.base.Clock;
 import org.limpetring.base.LogEvent;
 import org.limpetring.entry.DecisionLog;
 import org.limpetring.entry.EntryMetrics;
 import org.limpetring.entry.model.EngineSpec;
-import org.limpetring.entry.model.EngineStatus;
 import org.limpetring.entry.model.GroupPlan;
 import org.limpetring.entry.model.MemberState;
 import org.limpetring.entry.model.Membership;
@@ -65,12 +61,7 @@
     void onGroupEnding(PlannedGroup group, String reason);
   }
 
-  private static final long ORDER_TIMEOUT_MS = 350;
-  private static final long PROBE_TIMEOUT_MS = 180;
-
-  /** Pause between two questions to a host that did not answer the last one. */
-  private static final long REPROBE_MS = 800;
-
+  /** Pause between two rounds of questions to a suspected group. */
   private static final long PROBE_PAUSE_MS = 40;
 
   /** Probes in a row without an answer after which a member counts as lost. */
@@ -94,80 +85,19 @@
   /** Others are told of an open group this long; their own watches show it by then. */
   private static final long TOLD_MS = 2_500;
 
-  /** Begins the names of groups of one host that never open. */
-  private static final String SPARE = "spare-";
-
-  /** Pause in the list's growth after which the first groups form; above the pause of a watch. */
-  private static final long SETTLE_MS = 1_200;
-
-  private static final double LOAD_RATE_PART = 0.8;
-  private static final double MS_PER_S = 1_000;
-
-  /** Work in progress on one group; lost with the planner and found again from the list. */
-  private static final class Work {
-    PlannedGroup group;
-    final long startedMs;
-    final Map<String, Long> bornMs = new HashMap<>();
-    final Map<String, Long> joinSentMs = new HashMap<>();
-    final Map<String, Integer> silentProbes = new HashMap<>();
-    long openSentMs = Long.MIN_VALUE / 2;
-    long openedMs = Long.MIN_VALUE / 2;
-    long leaveSentMs = Long.MIN_VALUE / 2;
-    long endingSinceMs;
-    long probedMs = Long.MIN_VALUE / 2;
-    int probesOut;
-    boolean mayBeOpen;
-    boolean isGentle;
-    boolean isHeadReleased;
-    boolean isHeadOut;
-    boolean isCloseSent;
-    final Set<String> left = new HashSet<>();
-
-    Work(PlannedGroup group, long nowMs) {
-      this.group = group;
-      this.startedMs = nowMs;
-    }
-  }
-
-  private static final class Load {
-    final String model;
-    final long startedMs;
-    final long bornMs;
-    final long limitMs;
-
-    Load(String model, long startedMs, long bornMs, long limitMs) {
-      this.model = model;
-      this.startedMs = startedMs;
-      this.bornMs = bornMs;
-      this.limitMs = limitMs;
-    }
-  }
+  private static final String DEPARTED = " left the list";
+  private static final String LEAVING = " is leaving";
 
   private final PlannerRole role;
-  private final EngineControl engines;
   private final Surroundings surroundings;
   private final Clock clock;
   private final DecisionLog log;
-  private final EntryMetrics metrics;
   private final long stallMs;
-  private final Map<String, Work> works = new LinkedHashMap<>();
-  private final Map<String, Load> loads = new HashMap<>();
-  private final Map<String, String> lastModels = new HashMap<>();
-  private final Map<String, Long> warmSentMs = new HashMap<>();
-  private final Set<String> leaving = new HashSet<>();
-
-  /** Groups whose heads certainly serve them no more, by name and epoch. */
-  private final Set<String> headlessGroups = new HashSet<>();
-
-  /** Lives that did not answer, with the time of their last probe; they form no groups. */
-  private final Map<String, Long> silentLives = new HashMap<>();
-
-  private double loadTokens;
-  private long loadRefilledMs;
+  private final EngineOrders orders;
+  private final HostProbes probes;
+  private final HostSupply supply;
+  private final Map<String, GroupWork> works = new LinkedHashMap<>();
   private boolean wasPlanner;
-  private int mostHosts;
-  private long countedMs = Long.MIN_VALUE / 2;
-  private long grownMs = Long.MIN_VALUE / 2;
   private long lastEpoch;
 
   /** Keeper that acts while {@code role} is held. */
@@ -180,18 +110,19 @@
       EntryMetrics metrics,
       long stallMs) {
     this.role = role;
-    this.engines = engines;
     this.surroundings = surroundings;
     this.clock = clock;
     this.log = log;
-    this.metrics = metrics;
     this.stallMs = stallMs;
+    this.orders = new EngineOrders(role, engines, clock, log, metrics);
+    this.probes = new HostProbes(engines, clock);
+    this.supply = new HostSupply(surroundings, orders, probes, log);
   }
 
   /** Heads' ids with group and epoch of groups that ended lately, for the other daemons. */
   public List<PlannedGroup> ending() {
     List<PlannedGroup> groups = new ArrayList<>();
-    for (Work work : works.values()) {
+    for (GroupWork work : works.values()) {
       if (work.group.phase() == Phase.ENDING) {
         groups.add(work.group);
       }
@@ -203,7 +134,7 @@
   public List<PlannedGroup> opened() {
     long nowMs = clock.nowMs();
     List<PlannedGroup> groups = new ArrayList<>();
-    for (Work work : works.values()) {
+    for (GroupWork work : works.values()) {
       if (work.group.phase() == Phase.OPENED && nowMs - work.openedMs < TOLD_MS) {
         groups.add(work.group);
       }
@@ -216,18 +147,17 @@
     if (!role.isPlanner()) {
       wasPlanner = false;
       works.clear();
-      loads.clear();
+      supply.reset();
       return;
     }
     long nowMs = clock.nowMs();
     if (!wasPlanner) {
       takeOver(nowMs);
     }
-    for (Work work : List.copyOf(works.values())) {
+    for (GroupWork work : List.copyOf(works.values())) {
       step(work, nowMs);
     }
-    loads.entrySet().removeIf(each -> isLoadOver(each.getKey(), each.getValue(), nowMs));
-    silentLives.values().removeIf(probedMs -> nowMs - probedMs > 10 * REPROBE_MS);
+    probes.forgetOld(nowMs);
     if (!role.isCalling()) {
       plan(nowMs);
     }
@@ -242,7 +172,7 @@
     }
     lastEpoch = plan.lastEpoch();
     for (PlannedGroup group : plan.groups()) {
-      Work work = new Work(group, nowMs);
+      GroupWork work = new GroupWork(group, nowMs);
       work.mayBeOpen = true;
       works.put(group.name(), work);
       if (group.phase() == Phase.ENDING) {
@@ -253,7 +183,7 @@
 
   // one group
 
-  private void step(Work work, long nowMs) {
+  private void step(GroupWork work, long nowMs) {
     switch (work.group.phase()) {
       case FORMING -> stepForming(work, nowMs);
       case OPENED -> stepOpened(work, nowMs);
@@ -261,24 +191,25 @@
     }
   }
 
-  private @Nullable String memberFault(Work work) {
+  private @Nullable String memberFault(GroupWork work) {
     for (String id : work.group.members()) {
       Upstream member = surroundings.upstream(id);
       if (member == null) {
-        return id + " left the list";
+        return id + DEPARTED;
       }
+      work.lastKnown.put(id, member);
       Long born = work.bornMs.putIfAbsent(id, member.bornMs());
       if (born != null && born != member.bornMs()) {
         return id + " started again";
       }
       if (member.isLeaving()) {
-        return id + " is leaving";
+        return id + LEAVING;
       }
     }
     return null;
   }
 
-  private void stepForming(Work work, long nowMs) {
+  private void stepForming(GroupWork work, long nowMs) {
     String fault = memberFault(work);
     if (fault != null) {
       end(work, fault, false, nowMs);
@@ -322,7 +253,7 @@
     return null;
   }
 
-  private void join(Work work, Upstream member, long nowMs) {
+  private void join(GroupWork work, Upstream member, long nowMs) {
     Long sentMs = work.joinSentMs.get(member.id());
     if (sentMs != null && nowMs - sentMs < REORDER_MS) {
       return;
@@ -331,14 +262,14 @@
     PlannedGroup group = work.group;
     EngineOrder join =
         new EngineOrder.Join(group.name(), group.epoch(), group.model(), group.members());
-    order(
+    orders.send(
         member,
         join,
         reply -> {
           if (reply.isTaken()) {
             // the list shows the effect; only a lost one is ordered again
             work.joinSentMs.put(member.id(), clock.nowMs() + 4 * REORDER_MS);
-            lastModels.put(member.life(), group.model());
+            supply.onJoined(member, group.model());
           } else if (reply == OrderReply.OUTDATED && isCurrent(work, Phase.FORMING)) {
             end(work, member.id() + " has seen a newer epoch", false, clock.nowMs());
           } else if (reply == OrderReply.GONE && isCurrent(work, Phase.FORMING)) {
@@ -347,11 +278,11 @@
         });
   }
 
-  private boolean isCurrent(Work work, Phase phase) {
+  private boolean isCurrent(GroupWork work, Phase phase) {
     return works.get(work.group.name()) == work && work.group.phase() == phase;
   }
 
-  private void open(Work work, long nowMs) {
+  private void open(GroupWork work, long nowMs) {
     if (nowMs - work.openSentMs < REORDER_MS) {
       return;
     }
@@ -361,10 +292,10 @@
     }
     work.openSentMs = nowMs;
     work.mayBeOpen = true;
-    order(head, new EngineOrder.Open(work.group.name(), work.group.epoch()), reply -> {});
+    orders.send(head, new EngineOrder.Open(work.group.name(), work.group.epoch()), reply -> {});
   }
 
-  private void opened(Work work, long nowMs) {
+  private void opened(GroupWork work, long nowMs) {
     work.group = work.group.in(Phase.OPENED);
     work.openedMs = nowMs;
     work.mayBeOpen = true;
@@ -382,17 +313,15 @@
         nowMs - work.startedMs);
   }
 
-  private void stepOpened(Work work, long nowMs) {
+  private void stepOpened(GroupWork work, long nowMs) {
     String fault = memberFault(work);
     Upstream head = surroundings.upstream(work.group.head());
     Membership headState = head == null ? null : head.membership();
     if (fault != null) {
-      boolean isLeaving = fault.endsWith("leaving");
-      if (isLeaving) {
-        end(work, fault, true, nowMs);
+      if (fault.endsWith(DEPARTED)) {
+        endDeparted(work, fault, nowMs);
       } else {
-        probe(work, nowMs);
-        end(work, fault, isAnyoneGone(work), nowMs);
+        end(work, fault, fault.endsWith(LEAVING), nowMs);
       }
       return;
     }
@@ -416,12 +345,31 @@
     }
   }
 
-  /** Whether no member is known to be silent, so that the work in progress may end well. */
-  private static boolean isAnyoneGone(Work work) {
-    return work.silentProbes.isEmpty();
+  /**
+   * Ends a group that lost a member from the list. One that still answers is stopping or cut off
+   * from the store only, so that the work in progress may end well.
+   */
+  private void endDeparted(GroupWork work, String fault, long nowMs) {
+    if (work.isDepartureProbed) {
+      return;
+    }
+    work.isDepartureProbed = true;
+    String id = fault.substring(0, fault.length() - DEPARTED.length());
+    Upstream departed = work.lastKnown.get(id);
+    if (departed == null) {
+      end(work, fault, false, nowMs);
+      return;
+    }
+    probes.ask(
+        departed,
+        reply -> {
+          if (isCurrent(work, Phase.OPENED)) {
+            end(work, fault, reply instanceof ReportReply.Told, clock.nowMs());
+          }
+        });
   }
 
-  private void probe(Work work, long nowMs) {
+  private void probe(GroupWork work, long nowMs) {
     if (work.probesOut > 0 || nowMs - work.probedMs < PROBE_PAUSE_MS) {
       return;
     }
@@ -432,11 +380,11 @@
         continue;
       }
       work.probesOut++;
-      engines.report(member, PROBE_TIMEOUT_MS, reply -> onProbed(work, member, reply));
+      probes.ask(member, reply -> onProbed(work, member, reply));
     }
   }
 
-  private void onProbed(Work work, Upstream member, ReportReply reply) {
+  private void onProbed(GroupWork work, Upstream member, ReportReply reply) {
     work.probesOut--;
     long nowMs = clock.nowMs();
     if (reply instanceof ReportReply.Told) {
@@ -445,7 +393,7 @@
       int silent = work.silentProbes.merge(member.id(), 1, Integer::sum);
       boolean isLost = reply instanceof ReportReply.Gone || silent >= SILENT_PROBES;
       if (isLost) {
-        silentLives.put(member.life(), nowMs);
+        probes.markSilent(member);
       }
       if (isLost && isCurrent(work, Phase.OPENED)) {
         end(work, member.id() + " does not answer", false, nowMs);
@@ -457,7 +405,7 @@
     }
   }
 
-  private void end(Work work, String reason, boolean isGentle, long nowMs) {
+  private void end(GroupWork work, String reason, boolean isGentle, long nowMs) {
     if (work.group.phase() == Phase.ENDING) {
       return;
     }
@@ -484,7 +432,7 @@
     stepEnding(work, nowMs);
   }
 
-  private void stepEnding(Work work, long nowMs) {
+  private void stepEnding(GroupWork work, long nowMs) {
     if (work.isHeadReleased) {
       return;
     }
@@ -501,7 +449,8 @@
     if (work.isGentle && nowMs - work.endingSinceMs < GENTLE_MS && head != null) {
       if (!work.isCloseSent) {
         work.isCloseSent = true;
-        order(head, new EngineOrder.Close(work.group.name(), work.group.epoch()), reply -> {});
+        orders.send(
+            head, new EngineOrder.Close(work.group.name(), work.group.epoch()), reply -> {});
       }
       if (membership != null && membership.state().holdsMembers()) {
         return;
@@ -511,14 +460,14 @@
       return;
     }
     work.leaveSentMs = nowMs;
-    boolean isHeadSilent = head == null || silentLives.containsKey(head.life());
+    boolean isHeadSilent = head == null || probes.isKnownSilent(head);
     if (isHeadSilent) {
       releaseUnreachable(work, nowMs);
     }
     if (head == null) {
       return;
     }
-    order(
+    orders.send(
         head,
         new EngineOrder.Leave(work.group.name(), work.group.epoch()),
         reply -> {
@@ -540,7 +489,7 @@
    * The head can't be told to leave: its members are, each by itself. A member that left belongs to
    * no group, and a head that lost one serves nothing more and breaks by itself.
    */
-  private void releaseUnreachable(Work work, long nowMs) {
+  private void releaseUnreachable(GroupWork work, long nowMs) {
     PlannedGroup group = work.group;
     for (String id : group.members()) {
       Upstream member = surroundings.upstream(id);
@@ -552,7 +501,7 @@
         work.left.add(id);
         continue;
       }
-      order(
+      orders.send(
           member,
           new EngineOrder.Leave(group.name(), group.epoch()),
           reply -> {
@@ -569,14 +518,14 @@
   }
 
   /** Whether each member but the head has left, is no longer listed or does not answer. */
-  private boolean isEachMemberOut(Work work) {
+  private boolean isEachMemberOut(GroupWork work) {
     for (String id : work.group.members()) {
       Upstream member = surroundings.upstream(id);
       boolean isOut =
           id.equals(work.group.head())
               || member == null
               || work.left.contains(id)
-              || silentLives.containsKey(member.life());
+              || probes.isKnownSilent(member);
       if (!isOut) {
         return false;
       }
@@ -584,52 +533,14 @@
     return true;
   }
 
-  private void order(
-      Upstream engine, EngineOrder order, java.util.function.Consumer<OrderReply> done) {
-    long sentMs = clock.nowMs();
-    engines.order(
-        engine,
-        order,
-        ORDER_TIMEOUT_MS,
-        reply -> {
-          metrics.order(order.label(), reply.name());
-          log.write(
-              LogEvent.ORDER_ANSWERED,
-              "order",
-              order.toString(),
-              "upstream",
-              engine.id(),
-              "answer",
-              reply.name(),
-              "tookMs",
-              clock.nowMs() - sentMs,
-              "term",
-              role.term());
-          if (role.isPlanner()) {
-            done.accept(reply);
-          }
-        });
-  }
-
   // all groups
 
-  private boolean isLoadOver(String host, Load load, long nowMs) {
-    Upstream upstream = surroundings.upstream(host);
-    if (upstream == null
-        || upstream.bornMs() != load.bornMs
-        || nowMs - load.startedMs > load.limitMs) {
-      return true;
-    }
-    EngineStatus status = upstream.engine();
-    return status != null && status.staged().contains(load.model);
-  }
-
   private void plan(long nowMs) {
     List<PlannedGroup> next = new ArrayList<>();
     List<PlannedGroup> released = new ArrayList<>();
     Set<String> bound = new HashSet<>();
     boolean isChanged = false;
-    for (Work work : works.values()) {
+    for (GroupWork work : works.values()) {
       if (work.isHeadReleased) {
         released.add(work.group);
         isChanged = true;
@@ -641,8 +552,12 @@
     List<PlannedGroup> created = new ArrayList<>();
     for (ServiceSpec service : surroundings.services()) {
       EngineSpec engine = service.engine();
-      if (engine != null && isSettled(nowMs)) {
-        form(service.name(), engine, bound, created, nowMs);
+      if (engine != null) {
+        List<Formation.NewGroup> groups =
+            supply.form(service.name(), engine, next, bound, lastEpoch, nowMs);
+        for (Formation.NewGroup group : groups) {
+          created.add(plannedGroup(service.name(), group));
+        }
       }
     }
     if (!isChanged && created.isEmpty()) {
@@ -652,30 +567,23 @@
     role.write(next, lastEpoch, () -> onPlanWritten(released, created));
   }
 
-  /** Whether the list has stopped growing, so that a fabric domain's hosts are seen together. */
-  private boolean isSettled(long nowMs) {
-    int count = 0;
-    for (Upstream upstream : surroundings.upstreams()) {
-      count += upstream.engine() == null ? 0 : 1;
-    }
-    if (count > mostHosts) {
-      mostHosts = count;
-      grownMs = nowMs;
-    }
-    return surroundings.isTrafficSeen() || nowMs - grownMs >= SETTLE_MS;
+  private PlannedGroup plannedGroup(String service, Formation.NewGroup group) {
+    lastEpoch++;
+    return new PlannedGroup(
+        "g" + lastEpoch, lastEpoch, service, group.model(), group.members(), Phase.FORMING);
   }
 
   private void onPlanWritten(List<PlannedGroup> released, List<PlannedGroup> created) {
     long nowMs = clock.nowMs();
     for (PlannedGroup group : released) {
-      Work work = works.remove(group.name());
+      GroupWork work = works.remove(group.name());
       if (work != null && work.isHeadOut) {
-        headlessGroups.add(group.name() + '/' + group.epoch());
+        supply.onHeadOut(group);
       }
       log.write(LogEvent.GROUP_ENDED, "group", group.name(), "epoch", group.epoch());
     }
     for (PlannedGroup group : created) {
-      Work work = new Work(group, nowMs);
+      GroupWork work = new GroupWork(group, nowMs);
       works.put(group.name(), work);
       log.write(
           LogEvent.GROUP_FORMING,
@@ -690,258 +598,4 @@
       stepForming(work, nowMs);
     }
   }
-
-  private void form(
-      String service,
-      EngineSpec engine,
-      Set<String> bound,
-      List<PlannedGroup> created,
-      long nowMs) {
-    Map<String, Integer> groupsByModel = new HashMap<>();
-    Map<String, String> plannedModels = new HashMap<>();
-    int loading = 0;
-    for (Work work : works.values()) {
-      work.group.members().forEach(id -> plannedModels.put(id, work.group.model()));
-      if (work.group.service().equals(service) && work.group.phase() != Phase.ENDING) {
-        groupsByModel.merge(work.group.model(), 1, Integer::sum);
-        if (work.group.phase() == Phase.FORMING) {
-          loading += unstagedMembers(work.group);
-        }
-      }
-    }
-    List<FreeHost> free = new ArrayList<>();
-    Map<String, Map<String, Integer>> modelsByDomain = new HashMap<>();
-    for (Upstream upstream : surroundings.upstreams()) {
-      EngineStatus status = upstream.engine();
-      if (status == null || !upstream.service().equals(service)) {
-        continue;
-      }
-      Load load = loads.get(upstream.id());
-      String staged = status.staged().isEmpty() ? null : status.staged().get(0);
-      String planned = plannedModels.get(upstream.id());
-      String held = planned != null ? planned : load != null ? load.model : staged;
-      if (held != null) {
-        modelsByDomain
-            .computeIfAbsent(status.fabricDomain(), key -> new HashMap<>())
-            .merge(held, 1, Integer::sum);
-      }
-      if (load != null) {
-        loading++;
-      }
-      if (isFree(upstream, bound)) {
-        free.add(
-            new FreeHost(
-                upstream.id(),
-                status.fabricDomain(),
-                staged,
-                load == null ? null : load.model,
-                lastModels.get(upstream.life())));
-      }
-    }
-    count(service, engine, groupsByModel, free, loading, nowMs);
-    refillLoads(engine, nowMs);
-    int loadsLeft =
-        surroundings.isTrafficSeen()
-            ? (int) Math.max(0, Math.min(loadTokens, engine.loadsAtOnce() - loading))
-            : Integer.MAX_VALUE;
-    Formation.Decision decision =
-        Formation.decide(engine, free, groupsByModel, modelsByDomain, loadsLeft);
-    for (Formation.NewGroup group : decision.groups()) {
-      lastEpoch++;
-      created.add(
-          new PlannedGroup(
-              "g" + lastEpoch, lastEpoch, service, group.model(), group.members(), Phase.FORMING));
-      loadTokens -= group.loads();
-    }
-    for (Formation.Staging staging : decision.stagings()) {
-      stage(staging, engine, nowMs);
-    }
-    Set<String> taken = new HashSet<>(bound);
-    for (PlannedGroup group : created) {
-      taken.addAll(group.members());
-    }
-    for (FreeHost host : free) {
-      if (!taken.contains(host.id())) {
-        warm(host, nowMs);
-      }
-    }
-  }
-
-  /** Logs, once a second, how the pool's hosts are used. */
-  private void count(
-      String service,
-      EngineSpec engine,
-      Map<String, Integer> groupsByModel,
-      List<FreeHost> free,
-      int loading,
-      long nowMs) {
-    if (nowMs - countedMs < MS_PER_S) {
-      return;
-    }
-    countedMs = nowMs;
-    Map<String, Integer> spares = new TreeMap<>();
-    for (FreeHost host : free) {
-      String what =
-          host.loadingModel() != null ? "loading " + host.loadingModel() : host.stagedModel();
-      spares.merge(host.fabricDomain() + ' ' + (what == null ? "empty" : what), 1, Integer::sum);
-    }
-    int unreachable = 0;
-    for (Work work : works.values()) {
-      unreachable += work.group.phase() == Phase.ENDING ? 1 : 0;
-    }
-    log.write(
-        LogEvent.HOSTS_COUNTED,
-        "service",
-        service,
-        "groups",
-        groupsByModel,
-        "models",
-        engine.models(),
-        "ending",
-        unreachable,
-        "spares",
-        spares,
-        "loading",
-        loading,
-        "silent",
-        silentLives.size());
-  }
-
-  /**
-   * Has a spare host read its staged weights ahead of time, in a group of its own that never opens:
-   * an engine joins a group of the model of its last group many times faster.
-   */
-  private void warm(FreeHost spare, long nowMs) {
-    Upstream host = surroundings.upstream(spare.id());
-    String model = spare.stagedModel();
-    if (host == null
-        || model == null
-        || spare.loadingModel() != null
-        || model.equals(spare.lastModel())
-        || host.membership() != null) {
-      return;
-    }
-    Long sentMs = warmSentMs.get(host.life());
-    if (sentMs != null && nowMs - sentMs < 4 * REORDER_MS) {
-      return;
-    }
-    warmSentMs.put(host.life(), nowMs);
-    EngineOrder join =
-        new EngineOrder.Join(SPARE + host.id(), lastEpoch, model, List.of(host.id()));
-    order(
-        host,
-        join,
-        reply -> {
-          if (reply.isTaken()) {
-            lastModels.put(host.life(), model);
-          }
-        });
-  }
-
-  private int unstagedMembers(PlannedGroup group) {
-    int count = 0;
-    for (String id : group.members()) {
-      Upstream member = surroundings.upstream(id);
-      EngineStatus status = member == null ? null : member.engine();
-      if (status != null && !status.staged().contains(group.model())) {
-        count++;
-      }
-    }
-    return count;
-  }
-
-  private void refillLoads(EngineSpec engine, long nowMs) {
-    double perMs = engine.loadsPerSecond() * LOAD_RATE_PART / MS_PER_S;
-    double most = Math.max(1, engine.loadsAtOnce());
-    loadTokens = Math.min(most, loadTokens + (nowMs - loadRefilledMs) * perMs);
-    loadRefilledMs = nowMs;
-  }
-
-  private void stage(Formation.Staging staging, EngineSpec engine, long nowMs) {
-    Upstream host = surroundings.upstream(staging.host());
-    var model = engine.model(staging.model());
-    if (host == null || model == null) {
-      return;
-    }
-    loadTokens -= 1;
-    loads.put(
-        host.id(),
-        new Load(model.name(), nowMs, host.bornMs(), FORM_SLACK_MS + 4 * model.loadMs()));
-    order(
-        host,
-        new EngineOrder.Stage(model.name()),
-        reply -> {
-          if (!reply.isTaken() && reply != OrderReply.UNKNOWN) {
-            loads.remove(host.id());
-          }
-        });
-  }
-
-  private boolean isFree(Upstream upstream, Set<String> bound) {
-    if (bound.contains(upstream.id())
-        || upstream.isLeaving()
-        || isSilent(upstream)
-        || surroundings.domainsOut().contains(upstream.failureDomain())) {
-      return false;
-    }
-    Membership membership = upstream.membership();
-    if (membership == null) {
-      return true;
-    }
-    if (membership.group().startsWith(SPARE)) {
-      return true;
-    }
-    Upstream head = listedHead(upstream, membership);
-    boolean isHeadOut =
-        head == null
-            ? headlessGroups.contains(membership.group() + '/' + membership.epoch())
-            : !Objects.requireNonNull(head.membership()).state().holdsMembers();
-    if (isHeadOut) {
-      return true;
-    }
-    // the head goes first if it can be told; a host that has left by itself belongs to no group
-    Upstream told = head == null ? upstream : head;
-    if (leaving.add(told.life() + membership.group())) {
-      order(
-          told,
-          new EngineOrder.Leave(membership.group(), membership.epoch()),
-          reply -> leaving.remove(told.life() + membership.group()));
-    }
-    return false;
-  }
-
-  /** Whether the host did not answer lately; asks it again from time to time. */
-  private boolean isSilent(Upstream upstream) {
-    Long probedMs = silentLives.get(upstream.life());
-    if (probedMs == null) {
-      return false;
-    }
-    long nowMs = clock.nowMs();
-    if (nowMs - probedMs >= REPROBE_MS) {
-      silentLives.put(upstream.life(), nowMs);
-      engines.report(
-          upstream,
-          PROBE_TIMEOUT_MS,
-          reply -> {
-            if (reply instanceof ReportReply.Told) {
-              silentLives.remove(upstream.life());
-            }
-          });
-    }
-    return true;
-  }
-
-  /** The listed host that is the head of a member's group, or null. */
-  private @Nullable Upstream listedHead(Upstream member, Membership membership) {
-    for (Upstream other : surroundings.upstreams()) {
-      Membership head = other.membership();
-      if (head != null
-          && head.rank() == 0
-          && head.isOf(membership.group(), membership.epoch())
-          && other.service().equals(member.service())) {
-        return other;
-      }
-    }
-    return null;
-  }
 }
--- a/limpet-entry/src/test/java/org/limpetring/entry/group/GroupKeeperTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/group/GroupKeeperTest.java
@@ -141,6 +141,25 @@
     assertThat(world.state("a")).isNotEqualTo(MemberState.OPEN);
   }
 
+  /** A group whose member vanished from the list was closed gently and waited 2.5 s for nothing. */
+  @Test
+  void aGroupWhoseMemberVanishedDeadIsNotClosedGently() {
+    run(2_000);
+    world.silent.add("b");
+    world.hosts.remove("b");
+    run(500);
+    assertThat(world.orders.stream().anyMatch(EngineOrder.Close.class::isInstance)).isFalse();
+    assertThat(world.state("a")).isNull();
+  }
+
+  @Test
+  void aGroupWhoseMemberVanishedAliveIsClosedGently() {
+    run(2_000);
+    world.hosts.remove("b");
+    run(500);
+    assertThat(world.orders.stream().anyMatch(EngineOrder.Close.class::isInstance)).isTrue();
+  }
+
   @Test
   void anOrderWithoutAnAnswerIsSentAgain() {
     world.lostOrders = 3;
