--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
@@ -44,6 +44,12 @@
   /** A suspicion that nothing confirms ends after this time; the planner's probes take less. */
   private static final long SUSPICION_MS = 1_500;
 
+  /** Pause where a try failed unsent: about the time in which another place frees up. */
+  private static final long RETRY_AFTER_MS = 300;
+
+  /** Cold shares of upstreams that got nothing for this long are forgotten. */
+  private static final long COLD_MEMORY_MS = 10_000;
+
   private static final RouteTable NO_TABLE =
       new RouteTable(new EntryConfig(0, List.of(), Map.of(), Map.of(), true, Limits.UNKNOWN));
 
@@ -149,7 +155,7 @@
 
   /** Pause that a refused caller is asked to keep. */
   long retryAfterMs() {
-    return 300;
+    return RETRY_AFTER_MS;
   }
 
   // beliefs
@@ -420,7 +426,7 @@
 
   // events of requests
 
-  void onPlaceFreed(RequestFlow flow, Place place) {
+  void onPlaceFreed() {
     if (!queues.isEmpty()) {
       scheduleDrain();
     }
@@ -497,7 +503,7 @@
   /** Frees what is no longer needed. */
   void sweep() {
     connections.closeExpired();
-    coldShare.forgetBefore(nowMs() - 10_000);
+    coldShare.forgetBefore(nowMs() - COLD_MEMORY_MS);
     endedGroups.retainAll(currentHeads());
   }
 
--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
@@ -96,7 +96,7 @@
   private final KindFeed<EntryConfig> configFeed;
   private final KindFeed<Upstream> upstreamFeed;
   private final KindFeed<String> domainFeed;
-  private final MultiThreadIoEventLoopGroup group;
+  private final MultiThreadIoEventLoopGroup loops;
   private long peerSequence = Clock.wall().nowMs();
   private long sentPeersMs = Long.MIN_VALUE / 2;
   private long sweptMs = Long.MIN_VALUE / 2;
@@ -108,8 +108,8 @@
   public EntryDaemon(EntrySettings settings, Platform platform, DecisionLog log) {
     this.settings = settings;
     this.log = log;
-    this.group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    this.loop = group.next();
+    this.loops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    this.loop = loops.next();
     HttpConnections connections = new HttpConnections(loop, clock);
     HttpCalls calls = new HttpCalls(connections);
     this.store = platform.store(calls, log);
@@ -452,7 +452,7 @@
     if (!edge.isBusy() || isOver) {
       log.write(LogEvent.PROCESS_STOPPED, "afterMs", stoppingMs, "requests", core.flowCount());
       log.flush();
-      group
+      loops
           .shutdownGracefully(0, 0, TimeUnit.MILLISECONDS)
           .addListener(done -> Runtime.getRuntime().halt(0));
     }
--- a/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
@@ -58,6 +58,11 @@
 
   private static final double MS_PER_S = 1_000;
 
+  /** Another upstream than the one named has the address, or a member that is not the head. */
+  private static final int MISDIRECTED = 421;
+
+  private static final int SERVER_ERROR = 500;
+
   private final EntryCore core;
   private final CallerConnection caller;
   private final CallerRequest request;
@@ -347,7 +352,7 @@
       endStream(from, head, nowMs);
       return;
     }
-    if (head.isNotExecuted() || head.status() == 421) {
+    if (head.isNotExecuted() || head.status() == MISDIRECTED) {
       onNotExecuted(from, head, nowMs);
       return;
     }
@@ -359,7 +364,7 @@
       retryOrFail("unsigned answer", ResultCode.ANSWER_MISMATCH);
       return;
     }
-    boolean isFailure = head.status() >= 500;
+    boolean isFailure = head.status() >= SERVER_ERROR;
     from.onOutcome(!isFailure, nowMs);
     ranCount++;
     boolean mayRepeat = RepeatRule.mayRepeat(route, runState, ranCount) && core.nowMs() < giveUpMs;
@@ -390,7 +395,7 @@
     if (ranCount == 0) {
       runState = RunState.NOT_RUN;
     }
-    if (head.status() == 421) {
+    if (head.status() == MISDIRECTED) {
       core.onWrongUpstream(from, head.faultyUpstream());
     } else {
       from.onFull(nowMs);
@@ -605,7 +610,7 @@
       left.onRead(request.promptTokens());
     }
     left.onEnded();
-    core.onPlaceFreed(this, left);
+    core.onPlaceFreed();
   }
 
   @Nullable Place place() {
--- a/limpet-entry/src/main/java/org/limpetring/entry/StatusEdge.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/StatusEdge.java
@@ -13,6 +13,9 @@
 
   private static final String METRICS_PATH = "/metrics";
   private static final int MAX_BODY_BYTES = 1_024;
+  private static final int OK = 200;
+  private static final int NOT_FOUND = 404;
+  private static final int UNAVAILABLE = 503;
 
   private final String readyPath;
   private final BooleanSupplier isReady;
@@ -37,11 +40,11 @@
     body.release();
     String path = head.uri();
     if (path.equals(readyPath)) {
-      connection.respond(isReady.getAsBoolean() ? 200 : 503, null, Unpooled.EMPTY_BUFFER);
+      connection.respond(isReady.getAsBoolean() ? OK : UNAVAILABLE, null, Unpooled.EMPTY_BUFFER);
     } else if (path.equals(METRICS_PATH)) {
-      connection.respond(200, null, metricsText());
+      connection.respond(OK, null, metricsText());
     } else {
-      connection.respond(404, null, Unpooled.EMPTY_BUFFER);
+      connection.respond(NOT_FOUND, null, Unpooled.EMPTY_BUFFER);
     }
     return CallerConnection.Reply.NONE;
   }
--- a/limpet-entry/src/main/java/org/limpetring/entry/group/GroupKeeper.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/GroupKeeper.java
@@ -51,7 +51,7 @@
     /** Failure domains that are out of service. */
     Set<String> domainsOut();
 
-    /** Heads whose streams stand still, as this daemon or another sees it; ids with group. */
+    /** Whether the group's streams stand still, as this daemon or another sees it. */
     boolean isSuspected(PlannedGroup group);
 
     /** A suspicion was wrong. */
--- a/limpet-entry/src/main/java/org/limpetring/entry/net/CallerConnection.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/net/CallerConnection.java
@@ -210,7 +210,9 @@
     if (headers != null) {
       response.headers().add(headers);
     }
-    boolean hasNoBody = status == HttpResponseStatus.NO_CONTENT.code() || status == 304;
+    boolean hasNoBody =
+        status == HttpResponseStatus.NO_CONTENT.code()
+            || status == HttpResponseStatus.NOT_MODIFIED.code();
     if (!hasNoBody) {
       response.headers().set(HttpHeaderNames.CONTENT_LENGTH, content.readableBytes());
     }
--- a/limpet-entry/src/main/java/org/limpetring/entry/net/HttpConnections.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/net/HttpConnections.java
@@ -55,7 +55,6 @@
   private final Clock clock;
   private final Bootstrap bootstrap;
   private final Map<InetSocketAddress, ArrayDeque<Connection>> idle = new HashMap<>();
-  private long openedCount;
 
   /** Connections on one event loop. */
   public HttpConnections(EventLoop loop, Clock clock) {
@@ -74,11 +73,6 @@
         });
   }
 
-  /** Connections opened since the start. */
-  public long openedCount() {
-    return openedCount;
-  }
-
   /**
    * Sends a request; takes over the request's buffer.
    *
@@ -96,7 +90,6 @@
       reused.start(exchange);
       return exchange;
     }
-    openedCount++;
     ChannelFuture connecting =
         bootstrap
             .clone()
--- a/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerBook.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerBook.java
@@ -85,12 +85,6 @@
     return states;
   }
 
-  /** Time since a daemon was heard; very long if never. */
-  public long silentMs(String name, long nowMs) {
-    Peer peer = peers.get(name);
-    return peer == null ? Long.MAX_VALUE / 4 : nowMs - peer.heardMs;
-  }
-
   /** The other daemons' requests in progress at a place. */
   public int inFlight(String placeKey, long nowMs) {
     int count = 0;
--- a/limpetd/src/test/java/org/limpetring/daemon/LayersTest.java
+++ b/limpetd/src/test/java/org/limpetring/daemon/LayersTest.java
@@ -12,8 +12,7 @@
 final class LayersTest {
 
   private static final List<String> LAYERS =
-      List.of(
-          "base", "tables", "store", "peer", "fleet", "groups", "routing", "engine", "daemon");
+      List.of("base", "tables", "store", "peer", "fleet", "groups", "routing", "engine", "daemon");
 
   @Test
   void noLibraryReachesUpwards() {
