--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
@@ -46,7 +46,7 @@
   public interface Platform {
 
     /** The store, over the daemon's connections. */
-    PlatformStore store(HttpCalls calls, DecisionLog log);
+    PlatformStore store(HttpCalls calls, DecisionLog log, EntryMetrics metrics);
 
     /** Orders to engines, over the daemon's connections. */
     EngineControl engines(HttpCalls calls);
@@ -109,7 +109,7 @@
     this.loop = loops.next();
     HttpConnections connections = new HttpConnections(loop, clock);
     HttpCalls calls = new HttpCalls(connections);
-    this.store = platform.store(calls, log);
+    this.store = platform.store(calls, log, metrics);
     this.view = new PlatformView(clock, log);
     this.peers = new PeerBook(settings.daemonName());
     this.core =
--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryMetrics.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryMetrics.java
@@ -37,6 +37,12 @@
           .help("Orders to engines, by order and answer")
           .labelNames("order", "answer")
           .register(registry);
+  private final Counter storeCalls =
+      Counter.builder()
+          .name("limpet_entry_store_calls_total")
+          .help("Calls to the platform's store, by call, kind of object and outcome")
+          .labelNames("call", "kind", "outcome")
+          .register(registry);
   private final Gauge waiting =
       Gauge.builder()
           .name("limpet_entry_waiting")
@@ -80,6 +86,11 @@
     orders.labelValues(order, reply).inc();
   }
 
+  /** The store answered a call, or not. */
+  public void storeCall(String call, String kind, String outcome) {
+    storeCalls.labelValues(call, kind, outcome).inc();
+  }
+
   /** Requests that wait now. */
   public void waiting(int count) {
     waiting.set(count);
--- a/limpet-entry/src/main/java/org/limpetring/entry/place/Admission.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/place/Admission.java
@@ -1,5 +1,6 @@
 package org.limpetring.entry.place;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.function.ToDoubleFunction;
 import java.util.random.RandomGenerator;
@@ -15,13 +16,17 @@
  * expected. One that was refused before and came back waits longer, since it is late already.
  *
  * <p>Where several daemons send to the same places, each knows the others' requests only as of a
- * moment ago. All of them would choose the place that looked best then, so each compares only two
- * places drawn at random (Mitzenmacher, "How useful is old information?", 2000).
+ * moment ago. All of them would choose the place that looked best then, so each compares only some
+ * places drawn at random, the fewer the more daemons there are (Mitzenmacher, "How useful is old
+ * information?", 2000).
  */
 public final class Admission {
 
-  /** Places that are compared where the load of all is known only as of a moment ago. */
-  private static final int CHOICES = 2;
+  /** Fewest places that are compared; a second one already avoids most full places. */
+  private static final int MIN_CHOICES = 2;
+
+  /** A fleet of this many daemons is small enough for each to compare all places. */
+  private static final int SMALL_FLEET = 8;
 
   /** Part of the time left that a request which came back may wait for a place. */
   private static final double RETURNED_WAIT_PART = 0.5;
@@ -88,15 +93,13 @@
 
   /** The free place with the soonest first event among those compared, or null. */
   private static @Nullable Place best(Demand demand, Situation situation, long nowMs) {
-    List<Place> free = new java.util.ArrayList<>(situation.places().size());
+    List<Place> free = new ArrayList<>(situation.places().size());
     for (Place place : situation.places()) {
       if (place.isUsable(nowMs) && place.hasRoom(nowMs)) {
         free.add(place);
       }
     }
-    if (situation.daemons() > 1) {
-      keepDrawn(free, situation.random());
-    }
+    keepDrawn(free, choices(free.size(), situation.daemons()), situation.random());
     Place best = null;
     double bestMs = Double.MAX_VALUE;
     for (Place place : free) {
@@ -109,15 +112,19 @@
     return best;
   }
 
-  /** Keeps {@link #CHOICES} places drawn at random. */
-  private static void keepDrawn(List<Place> places, RandomGenerator random) {
-    for (int i = 0; i < CHOICES && places.size() > CHOICES; i++) {
+  private static int choices(int places, int daemons) {
+    return Math.max(MIN_CHOICES, places * SMALL_FLEET / Math.max(1, daemons));
+  }
+
+  /** Keeps {@code count} places drawn at random. */
+  private static void keepDrawn(List<Place> places, int count, RandomGenerator random) {
+    for (int i = 0; i < count && places.size() > count; i++) {
       int drawn = i + random.nextInt(places.size() - i);
       Place swapped = places.get(i);
       places.set(i, places.get(drawn));
       places.set(drawn, swapped);
     }
-    while (places.size() > CHOICES) {
+    while (places.size() > count) {
       places.remove(places.size() - 1);
     }
   }
