Planner that can't reach the store is replaced; no taking from each other

One had not been listed by the other at its start, so that the new planner told it nothing; one that had never read the plan took it from a planner 250 ms old. Ruled out: lost datagrams (both heard others); the store (conflicts were true). Change: daemons tell all others in their first 3 s; a new planner lists the daemons; a first reading of a plan counts as a new term; the planner tells when it can't reach the store; who hears fewer than half waits 5 s, counted from what it heard itself.

--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
@@ -100,6 +100,7 @@
   private long sweptMs = Long.MIN_VALUE / 2;
   private final Set<String> hurriedPlaces = new HashSet<>();
   private boolean wasReady;
+  private boolean wasPlanner;
 
   /** Daemon that has yet to start. */
   public EntryDaemon(EntrySettings settings, Platform platform, DecisionLog log) {
@@ -368,6 +369,11 @@
     int known = peers.knownCount();
     InetSocketAddress planner = peers.plannerAddress(TellSchedule.plannerSilenceMs(known), nowMs);
     boolean isPlanner = role.isPlanner();
+    if (isPlanner && !wasPlanner) {
+      // it has to reach those that it has never heard
+      listDaemons();
+    }
+    wasPlanner = isPlanner;
     TellSchedule.Audience audience = schedule.next(isPlanner, planner != null, known, nowMs);
     if (audience == TellSchedule.Audience.NOBODY) {
       return;
@@ -393,6 +399,7 @@
         peerSequence++,
         role.term(),
         role.isPlanner(),
+        role.isStuck(clock.nowMs()) || (role.isPlanner() && upstreamFeed.isLost()),
         isStopping,
         feeds().stream().map(KindFeed::newestRevision).toList(),
         loads,
--- a/limpet-entry/src/main/java/org/limpetring/entry/KindFeed.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/KindFeed.java
@@ -145,7 +145,9 @@
         reply -> {
           StoredObjects<T> all = reply.valueOrNull();
           // a watch may have heard more while the list was on its way
-          if (all != null && all.revision() > revision) {
+          if (all == null) {
+            lost(reply);
+          } else if (all.revision() > revision) {
             takeAll(all);
           }
         });
@@ -249,7 +251,12 @@
     backoffMs = MIN_BACKOFF_MS;
   }
 
-  private void retry(StoreReply<?> reply, Runnable call) {
+  /** Whether the last call failed. */
+  boolean isLost() {
+    return isLost;
+  }
+
+  private void lost(StoreReply<?> reply) {
     troubledMs = clock.nowMs();
     if (!isLost) {
       isLost = true;
@@ -264,6 +271,10 @@
           "ageMs",
           troubledMs - confirmedMs);
     }
+  }
+
+  private void retry(StoreReply<?> reply, Runnable call) {
+    lost(reply);
     long delayMs = backoffMs / 2 + ThreadLocalRandom.current().nextLong(backoffMs / 2 + 1);
     backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
     schedule(call, delayMs);
--- a/limpet-entry/src/main/java/org/limpetring/entry/group/PlannerRole.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/PlannerRole.java
@@ -31,13 +31,22 @@
   /** Silence after which the first in line takes over; several datagrams may be lost. */
   private static final long SILENCE_MS = 900;
 
+  /** Two intervals in which daemons tell each other; shorter than the planner's silence. */
+  private static final long HEARD_MS = 650;
+
   /** Further wait of each one in line, longer than a takeover takes. */
   private static final long STEP_MS = 250;
 
   private static final int MAX_STEPS = 8;
 
   /** Further wait of a daemon that hears less than half of the others. */
-  private static final long ISOLATED_MS = 2_500;
+  private static final long ISOLATED_MS = 5_000;
+
+  /** Failing calls after which the planner says that it can't reach the store. */
+  private static final long STUCK_MS = 300;
+
+  /** A daemon that started so lately has not missed a planner that is still alive. */
+  private static final long START_MS = 2_500;
 
   private static final long CALL_TIMEOUT_MS = 700;
   private static final long RETRY_MS = 300;
@@ -51,6 +60,9 @@
   private @Nullable GroupPlan plan;
   private long revision;
   private long plannerSeenMs;
+  private final long startedMs;
+  private long failingSinceMs = Long.MAX_VALUE;
+  private String heardPlanner = "";
   private boolean isCalling;
   private boolean isPlanner;
 
@@ -68,7 +80,8 @@
     this.clock = clock;
     this.log = log;
     this.peers = peers;
-    this.plannerSeenMs = clock.nowMs();
+    this.startedMs = clock.nowMs();
+    this.plannerSeenMs = startedMs;
   }
 
   /** Whether this daemon plans, as far as it knows. */
@@ -91,16 +104,25 @@
     return isCalling;
   }
 
+  /** Whether this daemon plans but has not reached the store for a while. */
+  public boolean isStuck(long nowMs) {
+    return isPlanner && nowMs - STUCK_MS > failingSinceMs;
+  }
+
   /** Another daemon told its state. */
   public void onPeer(PeerState state, long nowMs) {
     if (!state.isPlanner() || state.term() < term()) {
       return;
     }
+    heardPlanner = state.name();
     if (state.isStopping()) {
       plannerSeenMs = Math.min(plannerSeenMs, nowMs - SILENCE_MS);
       return;
     }
-    plannerSeenMs = nowMs;
+    if (!state.isStuck()) {
+      // one that can't reach the store is replaced by one that can
+      plannerSeenMs = nowMs;
+    }
     if (isPlanner && state.term() > term()) {
       stepDown("term " + state.term() + " of " + state.name());
     }
@@ -117,14 +139,17 @@
 
   /** Silence that this daemon waits for; each one in line waits a step longer. */
   private long waitMs(long nowMs) {
-    List<PeerState> alive = peers.alive(nowMs);
+    List<String> heard = peers.heardNames(HEARD_MS, nowMs);
+    boolean isPlannerHeard = heard.contains(heardPlanner);
     int before = 0;
-    for (PeerState peer : alive) {
-      if (peer.name().compareTo(ownName) < 0) {
+    // daemons hear each other only while they hear no planner
+    for (String name : isPlannerHeard ? peers.knownNames() : heard) {
+      if (name.compareTo(ownName) < 0 && !name.equals(heardPlanner)) {
         before++;
       }
     }
-    boolean isIsolated = (alive.size() + 1) * 2 < peers.knownCount();
+    int alive = isPlannerHeard ? peers.aliveCount(nowMs) : heard.size() + 1;
+    boolean isIsolated = alive * 2 < peers.knownCount();
     return SILENCE_MS + STEP_MS * Math.min(before, MAX_STEPS) + (isIsolated ? ISOLATED_MS : 0);
   }
 
@@ -142,7 +167,8 @@
     }
     GroupPlan found =
         stored.value() != null ? stored.value() : new GroupPlan("", term(), 0, List.of());
-    boolean isNewTerm = plan != null && found.term() > plan.term();
+    boolean isNewTerm =
+        plan == null ? clock.nowMs() - startedMs > START_MS : found.term() > plan.term();
     plan = found;
     revision = stored.revision();
     if (isNewTerm && !found.planner().equals(ownName)) {
@@ -162,6 +188,7 @@
       release(reply.describe());
       return;
     }
+    succeeded();
     isCalling = false;
     plan = taken;
     revision = written;
@@ -179,6 +206,9 @@
   }
 
   private void release(String reason) {
+    failed();
+    // a store that is away for all is not asked by all the time
+    plannerSeenMs = clock.nowMs() - SILENCE_MS / 2;
     log.write(LogEvent.PLAN_CONFLICT, "at", "takeover", "reason", reason);
     var unused = loop.schedule(() -> isCalling = false, RETRY_MS, TimeUnit.MILLISECONDS);
   }
@@ -204,9 +234,18 @@
         reply -> onWritten(reply, next, done));
   }
 
+  private void failed() {
+    failingSinceMs = Math.min(failingSinceMs, clock.nowMs());
+  }
+
+  private void succeeded() {
+    failingSinceMs = Long.MAX_VALUE;
+  }
+
   private void onWritten(StoreReply<Long> reply, GroupPlan next, Runnable done) {
     Long written = reply.valueOrNull();
     if (written != null) {
+      succeeded();
       isCalling = false;
       plan = next;
       revision = written;
@@ -221,6 +260,7 @@
       done.run();
       return;
     }
+    failed();
     log.write(LogEvent.PLAN_CONFLICT, "at", "write", "reason", reply.describe());
     if (reply instanceof StoreReply.Refused) {
       var unused = loop.schedule(() -> isCalling = false, RETRY_MS, TimeUnit.MILLISECONDS);
@@ -241,6 +281,7 @@
             var unused = loop.schedule(this::readBack, RETRY_MS, TimeUnit.MILLISECONDS);
             return;
           }
+          succeeded();
           isCalling = false;
           GroupPlan found = stored.value();
           if (found == null) {
--- a/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerBook.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerBook.java
@@ -129,6 +129,18 @@
     return peers.size() + 1;
   }
 
+  /** Names of the daemons that this one itself heard in the last {@code withinMs}. */
+  public List<String> heardNames(long withinMs, long nowMs) {
+    List<String> heard = new ArrayList<>();
+    for (Map.Entry<String, Peer> peer : peers.entrySet()) {
+      PeerState state = peer.getValue().state;
+      if (state != null && !state.isStopping() && nowMs - peer.getValue().heardMs <= withinMs) {
+        heard.add(peer.getKey());
+      }
+    }
+    return heard;
+  }
+
   /** Daemons heard of lately, by this one or by the planner, this one among them. */
   public int aliveCount(long nowMs) {
     PeerState.FleetLoad fleet = fleet(nowMs);
--- a/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerState.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerState.java
@@ -15,6 +15,7 @@
  * @param sequence grows with each datagram of one life
  * @param term the planner's term as the sender knows it
  * @param isPlanner whether the sender plans
+ * @param isStuck whether the sender plans but can't reach the store
  * @param isStopping whether the sender is about to end
  * @param revisions per kind, the store's revision of the newest object that the sender knows
  * @param loads requests in progress by place
@@ -28,6 +29,7 @@
     long sequence,
     long term,
     boolean isPlanner,
+    boolean isStuck,
     boolean isStopping,
     List<Long> revisions,
     List<Load> loads,
@@ -73,6 +75,7 @@
   private static final int OPENED_PLACE = 10;
   private static final int FLEET_DAEMONS = 11;
   private static final int FLEET_LOAD = 12;
+  private static final int IS_STUCK = 13;
   private static final int LOAD_PLACE = 1;
   private static final int LOAD_IN_FLIGHT = 2;
   private static final int LOAD_SUSPECTED = 3;
@@ -95,6 +98,7 @@
       out.writeInt64(SEQUENCE, sequence);
       out.writeInt64(TERM, term);
       out.writeBool(IS_PLANNER, isPlanner);
+      out.writeBool(IS_STUCK, isStuck);
       out.writeBool(IS_STOPPING, isStopping);
       for (Load load : loads) {
         out.writeByteArray(LOAD, encode(load));
@@ -143,6 +147,7 @@
     long sequence = 0;
     long term = 0;
     boolean isPlanner = false;
+    boolean isStuck = false;
     boolean isStopping = false;
     List<Load> loads = new ArrayList<>();
     List<String> endedPlaces = new ArrayList<>();
@@ -157,6 +162,7 @@
         case SEQUENCE -> sequence = in.readInt64();
         case TERM -> term = in.readInt64();
         case IS_PLANNER -> isPlanner = in.readBool();
+        case IS_STUCK -> isStuck = in.readBool();
         case IS_STOPPING -> isStopping = in.readBool();
         case LOAD -> loads.add(decodeLoad(in.readByteArray()));
         case REVISION -> revisions.add(in.readInt64());
@@ -176,6 +182,7 @@
         sequence,
         term,
         isPlanner,
+        isStuck,
         isStopping,
         revisions,
         loads,
--- a/limpet-entry/src/main/java/org/limpetring/entry/peer/TellSchedule.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/peer/TellSchedule.java
@@ -6,7 +6,8 @@
  * <p>Load pattern: hundreds of daemons send to the same few heads and have to know each other's
  * load within a fraction of a second. Each tells the planner, which tells all the sums: two
  * datagrams a daemon and interval instead of one for each pair. While no planner is heard, all tell
- * all, so that the next in line knows whether it is cut off itself.
+ * all, so that the next in line knows whether it is cut off itself; so does a daemon that has just
+ * started.
  */
 public final class TellSchedule {
 
@@ -31,7 +32,11 @@
 
   private static final long SLACK_MS = 50;
 
+  /** Time after the start in which a daemon tells all, since others may not know it yet. */
+  private static final long INTRODUCTION_MS = 3_000;
+
   private long toldMs = Long.MIN_VALUE / 2;
+  private long firstMs = Long.MAX_VALUE;
 
   /** Interval between two tellings. */
   public static long intervalMs(int knownDaemons) {
@@ -46,8 +51,10 @@
 
   /** Whom to tell now; whoever is named counts as told. */
   public Audience next(boolean isPlanner, boolean isPlannerHeard, int knownDaemons, long nowMs) {
-    boolean isToAll = isPlanner || !isPlannerHeard;
-    long intervalMs = isPlanner || isPlannerHeard ? intervalMs(knownDaemons) : MAX_INTERVAL_MS;
+    firstMs = Math.min(firstMs, nowMs);
+    boolean isIntroduced = nowMs - firstMs >= INTRODUCTION_MS;
+    boolean isToAll = isPlanner || !isPlannerHeard || !isIntroduced;
+    long intervalMs = isPlanner || !isToAll ? intervalMs(knownDaemons) : MAX_INTERVAL_MS;
     if (nowMs - toldMs < intervalMs) {
       return Audience.NOBODY;
     }
--- a/limpet-entry/src/test/java/org/limpetring/entry/peer/PeerStateTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/peer/PeerStateTest.java
@@ -26,6 +26,7 @@
         3,
         fleet != null,
         false,
+        false,
         List.of(11L, 22L, 33L),
         List.of(load(inFlight, isSuspected)),
         List.of("y/g/3"),
