--- a/limpet-entry/src/main/java/org/limpetring/entry/group/PlannerRole.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/PlannerRole.java
@@ -63,6 +63,10 @@
   private final long startedMs;
   private long failingSinceMs = Long.MAX_VALUE;
   private String heardPlanner = "";
+
+  /** Highest term that was heard of or read; 0 before any. */
+  private long knownTerm;
+
   private boolean isCalling;
   private boolean isPlanner;
 
@@ -115,6 +119,7 @@
       return;
     }
     heardPlanner = state.name();
+    knownTerm = Math.max(knownTerm, state.term());
     if (state.isStopping()) {
       plannerSeenMs = Math.min(plannerSeenMs, nowMs - SILENCE_MS);
       return;
@@ -168,7 +173,8 @@
     GroupPlan found =
         stored.value() != null ? stored.value() : new GroupPlan("", term(), 0, List.of());
     boolean isNewTerm =
-        plan == null ? clock.nowMs() - startedMs > START_MS : found.term() > plan.term();
+        knownTerm == 0 ? clock.nowMs() - startedMs > START_MS : found.term() > knownTerm;
+    knownTerm = Math.max(knownTerm, found.term());
     plan = found;
     revision = stored.revision();
     if (isNewTerm && !found.planner().equals(ownName)) {
@@ -190,6 +196,7 @@
     }
     succeeded();
     isCalling = false;
+    knownTerm = taken.term();
     plan = taken;
     revision = written;
     isPlanner = true;
@@ -289,6 +296,7 @@
             return;
           }
           long ownTerm = term();
+          knownTerm = Math.max(knownTerm, found.term());
           plan = found;
           revision = stored.revision();
           if (!found.planner().equals(ownName) || found.term() != ownTerm) {
