An engine that is loading already is not ordered again; one fresh watcher besides the planner

Change: a refused load counts as one in progress; one fresh watcher instead of two; the planner's watch gathers 40 ms instead of 30.

--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
@@ -60,14 +60,14 @@
 
   private static final long SWEEP_MS = 1_000;
 
-  /** Gathers changes that come together. */
-  private static final long REARM_MS = 30;
+  /** Gathers changes that come together, such as a group's members that become ready. */
+  private static final long REARM_MS = 40;
 
   /** A third of the shortest time in which new work to a leaving upstream has to end. */
   private static final long UPSTREAM_REARM_MS = 650;
 
-  /** Daemons besides the planner whose watches are never stale; one of them may be cut off. */
-  private static final int FRESH_WATCHERS = 2;
+  /** Daemons besides the planner whose watches are never stale. */
+  private static final int FRESH_WATCHERS = 1;
 
   /** Key by which those daemons are chosen. */
   private static final String WATCHERS = "watchers";
--- a/limpet-entry/src/main/java/org/limpetring/entry/group/HostSupply.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/HostSupply.java
@@ -45,7 +45,8 @@
 
   private static final double MS_PER_S = 1_000;
 
-  private record Load(String model, long startedMs, long bornMs, long limitMs) {}
+  /** Load in progress; {@code isAssumed} where the host only said that it is busy. */
+  private record Load(String model, long startedMs, long bornMs, long limitMs, boolean isAssumed) {}
 
   private final GroupKeeper.Surroundings surroundings;
   private final EngineOrders orders;
@@ -287,12 +288,16 @@
     loadTokens -= 1;
     loads.put(
         host.id(),
-        new Load(model.name(), nowMs, host.bornMs(), LOAD_SLACK_MS + 4 * model.loadMs()));
+        new Load(model.name(), nowMs, host.bornMs(), LOAD_SLACK_MS + 4 * model.loadMs(), false));
     orders.send(
         host,
         new EngineOrder.Stage(model.name()),
         reply -> {
-          if (!reply.isTaken() && reply != OrderReply.UNKNOWN) {
+          if (reply == OrderReply.UNFIT) {
+            // an earlier planner has had it load already, perhaps another model
+            loads.put(
+                host.id(), new Load(model.name(), nowMs, host.bornMs(), model.loadMs(), true));
+          } else if (!reply.isTaken() && reply != OrderReply.UNKNOWN) {
             loads.remove(host.id());
           }
         });
@@ -353,6 +358,9 @@
       return true;
     }
     EngineStatus status = upstream.engine();
-    return status != null && status.staged().contains(load.model());
+    if (status == null) {
+      return false;
+    }
+    return load.isAssumed() ? !status.staged().isEmpty() : status.staged().contains(load.model());
   }
 }
--- a/limpet-entry/src/test/java/org/limpetring/entry/group/GroupKeeperTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/group/GroupKeeperTest.java
@@ -188,6 +188,16 @@
     assertThat(world.opened).isNotEmpty();
   }
 
+  /** Grown dol-dress quiet-1: a new planner ordered hosts to load 529 times that did so already. */
+  @Test
+  void anEngineThatIsLoadingAlreadyIsNotOrderedAgain() {
+    world.hosts.put("empty", TestData.host("empty", 1, null, null));
+    world.isLoadRefused = true;
+    run(3_000);
+    assertThat(world.orders.stream().filter(EngineOrder.Stage.class::isInstance).count())
+        .isEqualTo(1);
+  }
+
   /** Engines, and what the daemon around the keeper knows. */
   private final class World implements EngineControl, GroupKeeper.Surroundings {
 
@@ -199,6 +209,7 @@
     final List<String> doubled = new ArrayList<>();
     Runnable onJoin = () -> {};
     boolean isSuspected;
+    boolean isLoadRefused;
     int cleared;
     int lostOrders;
 
@@ -228,6 +239,10 @@
         done.accept(OrderReply.UNKNOWN);
         return;
       }
+      if (isLoadRefused && order instanceof EngineOrder.Stage) {
+        done.accept(OrderReply.UNFIT);
+        return;
+      }
       obey(engine.id(), order);
       done.accept(OrderReply.BEGUN);
     }
