Request log lines, the daemons' directory and the release of groups in files of their own

Ruled out: no behaviour is changed; the methods moved as they were. Change: RequestLog, DaemonDirectory, GroupRelease.

--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/DaemonDirectory.java
@@ -0,0 +1,102 @@
+package org.limpetring.entry;
+
+import io.netty.channel.EventLoop;
+import java.util.concurrent.TimeUnit;
+import org.limpetring.entry.model.DaemonEntry;
+import org.limpetring.entry.model.EntrySettings;
+import org.limpetring.entry.peer.PeerBook;
+import org.limpetring.entry.port.ObjectKind;
+import org.limpetring.entry.port.PlatformStore;
+import org.limpetring.entry.port.StoreReply;
+import org.limpetring.entry.port.StoredObject;
+import org.limpetring.entry.port.StoredObjects;
+
+/** The daemons' entries in the store, by which they find each other. */
+final class DaemonDirectory {
+
+  private static final long CALL_TIMEOUT_MS = 1_000;
+  private static final long CALL_RETRY_MS = 500;
+
+  private final EntrySettings settings;
+  private final PlatformStore store;
+  private final EventLoop loop;
+  private final PeerBook peers;
+
+  DaemonDirectory(EntrySettings settings, PlatformStore store, EventLoop loop, PeerBook peers) {
+    this.settings = settings;
+    this.store = store;
+    this.loop = loop;
+    this.peers = peers;
+  }
+
+  private DaemonEntry ownEntry() {
+    return new DaemonEntry(settings.daemonName(), settings.failureDomain(), settings.peerAddress());
+  }
+
+  /** Enters this daemon. */
+  void register() {
+    store.create(
+        ObjectKind.DAEMONS,
+        settings.daemonName(),
+        ownEntry(),
+        CALL_TIMEOUT_MS,
+        reply -> {
+          if (reply instanceof StoreReply.Refused || reply instanceof StoreReply.Unknown) {
+            retry(this::register);
+          } else if (reply instanceof StoreReply.Conflict) {
+            renew();
+          }
+        });
+  }
+
+  /** An earlier life's entry stands already; it is replaced only if the address changed. */
+  private void renew() {
+    store.get(
+        ObjectKind.DAEMONS,
+        settings.daemonName(),
+        CALL_TIMEOUT_MS,
+        reply -> {
+          StoredObject<DaemonEntry> stored = reply.valueOrNull();
+          if (stored == null) {
+            retry(this::register);
+          } else if (!ownEntry().equals(stored.value())) {
+            store.replace(
+                ObjectKind.DAEMONS,
+                settings.daemonName(),
+                ownEntry(),
+                stored.revision(),
+                CALL_TIMEOUT_MS,
+                replaced -> {
+                  if (replaced.valueOrNull() == null) {
+                    retry(this::register);
+                  }
+                });
+          }
+        });
+  }
+
+  /** Reads all entries into the book of peers. */
+  void list() {
+    store.list(
+        ObjectKind.DAEMONS,
+        PlatformStore.Freshness.LINEARIZABLE,
+        CALL_TIMEOUT_MS,
+        reply -> {
+          StoredObjects<DaemonEntry> all = reply.valueOrNull();
+          if (all == null) {
+            retry(this::list);
+            return;
+          }
+          for (StoredObject<DaemonEntry> object : all.objects()) {
+            DaemonEntry entry = object.value();
+            if (entry != null) {
+              peers.onListed(entry.name(), entry.peerAddress());
+            }
+          }
+        });
+  }
+
+  private void retry(Runnable call) {
+    var unused = loop.schedule(call, CALL_RETRY_MS, TimeUnit.MILLISECONDS);
+  }
+}
--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
@@ -17,7 +17,6 @@
 import org.limpetring.base.Rendezvous;
 import org.limpetring.entry.group.GroupKeeper;
 import org.limpetring.entry.group.PlannerRole;
-import org.limpetring.entry.model.DaemonEntry;
 import org.limpetring.entry.model.EntryConfig;
 import org.limpetring.entry.model.EntrySettings;
 import org.limpetring.entry.model.PlannedGroup;
@@ -35,7 +34,6 @@
 import org.limpetring.entry.port.ObjectKind;
 import org.limpetring.entry.port.PlatformStore;
 import org.limpetring.entry.port.RequestFormat;
-import org.limpetring.entry.port.StoreReply;
 import org.limpetring.entry.port.StoredObject;
 import org.limpetring.entry.port.StoredObjects;
 
@@ -75,9 +73,6 @@
   /** Part of the grace time after which the daemon ends whatever is still in progress. */
   private static final double GRACE_PART = 0.97;
 
-  private static final long CALL_TIMEOUT_MS = 1_000;
-  private static final long CALL_RETRY_MS = 500;
-
   private final EntrySettings settings;
   private final DecisionLog log;
   private final Clock clock = Clock.system();
@@ -86,6 +81,7 @@
   private final PlatformView view;
   private final PeerBook peers;
   private final PeerLink link;
+  private final DaemonDirectory directory;
   private final PlatformStore store;
   private final EntryCore core;
   private final CallerEdge edge;
@@ -127,6 +123,7 @@
             log,
             metrics,
             settings.bounds().stallMs());
+    this.directory = new DaemonDirectory(settings, store, loop, peers);
     this.link = new PeerLink(loop, log, this::onPeer);
     this.configFeed = feed(ObjectKind.CONFIG, new ConfigListener(), () -> REARM_MS);
     this.upstreamFeed = feed(ObjectKind.UPSTREAMS, new UpstreamListener(), this::upstreamRearmMs);
@@ -173,8 +170,8 @@
     configFeed.start();
     upstreamFeed.start();
     domainFeed.start();
-    register();
-    listDaemons();
+    directory.register();
+    directory.list();
     var unused =
         loop.scheduleWithFixedDelay(this::tickSafely, TICK_MS, TICK_MS, TimeUnit.MILLISECONDS);
     log.write(
@@ -266,75 +263,6 @@
 
   // other daemons
 
-  private DaemonEntry ownEntry() {
-    return new DaemonEntry(settings.daemonName(), settings.failureDomain(), settings.peerAddress());
-  }
-
-  private void register() {
-    store.create(
-        ObjectKind.DAEMONS,
-        settings.daemonName(),
-        ownEntry(),
-        CALL_TIMEOUT_MS,
-        reply -> {
-          if (reply instanceof StoreReply.Refused || reply instanceof StoreReply.Unknown) {
-            retry(this::register);
-          } else if (reply instanceof StoreReply.Conflict) {
-            renew();
-          }
-        });
-  }
-
-  /** An earlier life's entry stands already; it is replaced only if the address changed. */
-  private void renew() {
-    store.get(
-        ObjectKind.DAEMONS,
-        settings.daemonName(),
-        CALL_TIMEOUT_MS,
-        reply -> {
-          StoredObject<DaemonEntry> stored = reply.valueOrNull();
-          if (stored == null) {
-            retry(this::register);
-          } else if (!ownEntry().equals(stored.value())) {
-            store.replace(
-                ObjectKind.DAEMONS,
-                settings.daemonName(),
-                ownEntry(),
-                stored.revision(),
-                CALL_TIMEOUT_MS,
-                replaced -> {
-                  if (replaced.valueOrNull() == null) {
-                    retry(this::register);
-                  }
-                });
-          }
-        });
-  }
-
-  private void listDaemons() {
-    store.list(
-        ObjectKind.DAEMONS,
-        PlatformStore.Freshness.LINEARIZABLE,
-        CALL_TIMEOUT_MS,
-        reply -> {
-          StoredObjects<DaemonEntry> all = reply.valueOrNull();
-          if (all == null) {
-            retry(this::listDaemons);
-            return;
-          }
-          for (StoredObject<DaemonEntry> object : all.objects()) {
-            DaemonEntry entry = object.value();
-            if (entry != null) {
-              peers.onListed(entry.name(), entry.peerAddress());
-            }
-          }
-        });
-  }
-
-  private void retry(Runnable call) {
-    var unused = loop.schedule(call, CALL_RETRY_MS, TimeUnit.MILLISECONDS);
-  }
-
   private void onPeer(PeerState state, InetSocketAddress from) {
     long nowMs = clock.nowMs();
     peers.onHeard(state, from, nowMs);
@@ -371,7 +299,7 @@
     boolean isPlanner = role.isPlanner();
     if (isPlanner && !wasPlanner) {
       // it has to reach those that it has never heard
-      listDaemons();
+      directory.list();
     }
     wasPlanner = isPlanner;
     TellSchedule.Audience audience = schedule.next(isPlanner, planner != null, known, nowMs);
--- a/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
@@ -18,7 +18,6 @@
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import org.jspecify.annotations.Nullable;
-import org.limpetring.base.LogEvent;
 import org.limpetring.base.ResultCode;
 import org.limpetring.base.RunState;
 import org.limpetring.entry.model.Route;
@@ -66,6 +65,7 @@
   private final EntryCore core;
   private final CallerConnection caller;
   private final CallerRequest request;
+  private final RequestLog lines;
   private final ByteBuf body;
   private final long arrivedMs;
   private final Set<String> triedLives = new HashSet<>();
@@ -94,6 +94,7 @@
     this.core = core;
     this.caller = caller;
     this.request = request;
+    this.lines = new RequestLog(core, request.id(), () -> this.route.name());
     this.body = body;
     this.route = route;
     this.arrivedMs = core.nowMs();
@@ -197,27 +198,7 @@
     eventsOfThisRun = 0;
     triedLives.add(target.upstream().life());
     target.onSent(request.promptTokens(), nowMs);
-    core.log()
-        .write(
-            LogEvent.REQUEST_SENT,
-            "request",
-            id(),
-            "route",
-            route.name(),
-            "upstream",
-            target.upstream().id(),
-            "place",
-            target.key(),
-            "inFlight",
-            target.inFlight(),
-            "waitedMs",
-            nowMs - arrivedMs,
-            "leftMs",
-            leftMs,
-            "run",
-            ranCount,
-            "config",
-            core.table().config().version());
+    lines.sent(target, nowMs - arrivedMs, leftMs, ranCount);
     String lastId = events == null ? null : events.lastId();
     HttpHeaders headers =
         core.format()
@@ -260,15 +241,7 @@
   public boolean onHead(HttpResponse head) {
     AnswerHead read = core.format().readAnswer(head);
     if (read.requestId() != null && !read.requestId().equals(id())) {
-      core.log()
-          .write(
-              LogEvent.ANSWER_CROSSED,
-              "request",
-              id(),
-              "upstream",
-              upstreamId(),
-              "answers",
-              read.requestId());
+      lines.crossed(upstreamId(), read.requestId());
       return false;
     }
     answer = read;
@@ -484,19 +457,7 @@
   }
 
   private void logRetry(String reason) {
-    core.log()
-        .write(
-            LogEvent.REQUEST_RETRIED,
-            "request",
-            id(),
-            "reason",
-            reason,
-            "ran",
-            ranCount,
-            "state",
-            runState.label(),
-            "lastEvent",
-            events == null ? "" : String.valueOf(events.lastId()));
+    lines.retried(reason, ranCount, runState, events == null ? null : events.lastId());
   }
 
   // ends
@@ -513,21 +474,7 @@
           HttpHeaderNames.RETRY_AFTER, String.format(Locale.ROOT, "%.3f", retryAfterMs / MS_PER_S));
     }
     caller.respond(code.httpStatus(), headers, text(code));
-    core.log()
-        .write(
-            LogEvent.REQUEST_REFUSED,
-            "request",
-            id(),
-            "code",
-            code.number(),
-            "reason",
-            reason,
-            "retryAfterMs",
-            retryAfterMs,
-            "waitedMs",
-            core.nowMs() - arrivedMs,
-            "config",
-            core.table().config().version());
+    lines.refused(code, reason, retryAfterMs, core.nowMs() - arrivedMs);
     over(code, code.httpStatus(), null);
   }
 
@@ -573,15 +520,7 @@
     cancelExchange();
     leavePlace();
     core.forget(this);
-    core.log()
-        .write(
-            LogEvent.REQUEST_LEFT,
-            "request",
-            id(),
-            "afterMs",
-            core.nowMs() - arrivedMs,
-            "state",
-            runState.label());
+    lines.left(core.nowMs() - arrivedMs, runState);
     over(ResultCode.CANCELLED, 0, null);
   }
 
@@ -650,25 +589,7 @@
     long nowMs = core.nowMs();
     core.metrics().ended(code, nowMs - arrivedMs);
     if (how != null) {
-      core.log()
-          .write(
-              code == ResultCode.OK ? LogEvent.REQUEST_ANSWERED : LogEvent.REQUEST_FAILED,
-              "request",
-              id(),
-              "code",
-              code.number(),
-              "status",
-              status,
-              "how",
-              how,
-              "ran",
-              ranCount,
-              "state",
-              runState.label(),
-              "tookMs",
-              nowMs - arrivedMs,
-              "lastTryMs",
-              nowMs - sentMs);
+      lines.ended(code, status, how, ranCount, runState, nowMs - arrivedMs, nowMs - sentMs);
     }
     core.onFlowOver(this);
   }
--- a/limpet-entry/src/main/java/org/limpetring/entry/group/GroupKeeper.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/GroupKeeper.java
@@ -70,15 +70,6 @@
   /** An order without a visible effect is sent again after this time. */
   private static final long REORDER_MS = 700;
 
-  /** An order to leave that was not answered is sent again after this time. */
-  private static final long LEAVE_AGAIN_MS = 350;
-
-  /** Added to the time in which engines give up on a lost member. */
-  private static final long STALL_MARGIN_MS = 700;
-
-  /** Longest wait for a head to finish its requests when a group is ended gently. */
-  private static final long GENTLE_MS = 2_500;
-
   /** A forming group that takes this much longer than its load is given up. */
   private static final long FORM_SLACK_MS = 6_000;
 
@@ -92,10 +83,10 @@
   private final Surroundings surroundings;
   private final Clock clock;
   private final DecisionLog log;
-  private final long stallMs;
   private final EngineOrders orders;
   private final HostProbes probes;
   private final HostSupply supply;
+  private final GroupRelease release;
   private final Map<String, GroupWork> works = new LinkedHashMap<>();
   private boolean wasPlanner;
   private long lastEpoch;
@@ -113,10 +104,10 @@
     this.surroundings = surroundings;
     this.clock = clock;
     this.log = log;
-    this.stallMs = stallMs;
     this.orders = new EngineOrders(role, engines, clock, log, metrics);
     this.probes = new HostProbes(engines, clock);
     this.supply = new HostSupply(surroundings, orders, probes, log);
+    this.release = new GroupRelease(surroundings, orders, probes, clock, stallMs);
   }
 
   /** Heads' ids with group and epoch of groups that ended lately, for the other daemons. */
@@ -187,7 +178,7 @@
     switch (work.group.phase()) {
       case FORMING -> stepForming(work, nowMs);
       case OPENED -> stepOpened(work, nowMs);
-      case ENDING -> stepEnding(work, nowMs);
+      case ENDING -> release.step(work, nowMs);
     }
   }
 
@@ -429,108 +420,7 @@
     if (!isGentle) {
       surroundings.onGroupEnding(work.group, reason);
     }
-    stepEnding(work, nowMs);
-  }
-
-  private void stepEnding(GroupWork work, long nowMs) {
-    if (work.isHeadReleased) {
-      return;
-    }
-    Upstream head = surroundings.upstream(work.group.head());
-    Membership membership = head == null ? null : head.membership();
-    boolean hasLeft =
-        head != null
-            && (membership == null || !membership.isOf(work.group.name(), work.group.epoch()));
-    if (!work.mayBeOpen || hasLeft) {
-      work.isHeadReleased = true;
-      work.isHeadOut = true;
-      return;
-    }
-    if (work.isGentle && nowMs - work.endingSinceMs < GENTLE_MS && head != null) {
-      if (!work.isCloseSent) {
-        work.isCloseSent = true;
-        orders.send(
-            head, new EngineOrder.Close(work.group.name(), work.group.epoch()), reply -> {});
-      }
-      if (membership != null && membership.state().holdsMembers()) {
-        return;
-      }
-    }
-    if (nowMs - work.leaveSentMs < LEAVE_AGAIN_MS) {
-      return;
-    }
-    work.leaveSentMs = nowMs;
-    boolean isHeadSilent = head == null || probes.isKnownSilent(head);
-    if (isHeadSilent) {
-      releaseUnreachable(work, nowMs);
-    }
-    if (head == null) {
-      return;
-    }
-    orders.send(
-        head,
-        new EngineOrder.Leave(work.group.name(), work.group.epoch()),
-        reply -> {
-          boolean isFree =
-              reply.isTaken()
-                  || reply == OrderReply.GONE
-                  || reply == OrderReply.OTHER_ENGINE
-                  || reply == OrderReply.UNFIT;
-          if (isFree) {
-            work.isHeadReleased = true;
-            work.isHeadOut = true;
-          } else {
-            releaseUnreachable(work, clock.nowMs());
-          }
-        });
-  }
-
-  /**
-   * The head can't be told to leave: its members are, each by itself. A member that left belongs to
-   * no group, and a head that lost one serves nothing more and breaks by itself.
-   */
-  private void releaseUnreachable(GroupWork work, long nowMs) {
-    PlannedGroup group = work.group;
-    for (String id : group.members()) {
-      Upstream member = surroundings.upstream(id);
-      if (member == null || id.equals(group.head()) || work.left.contains(id)) {
-        continue;
-      }
-      Membership membership = member.membership();
-      if (membership == null || !membership.isOf(group.name(), group.epoch())) {
-        work.left.add(id);
-        continue;
-      }
-      orders.send(
-          member,
-          new EngineOrder.Leave(group.name(), group.epoch()),
-          reply -> {
-            if (reply.isTaken() || reply == OrderReply.GONE || reply == OrderReply.OTHER_ENGINE) {
-              work.left.add(id);
-            }
-          });
-    }
-    work.isHeadReleased = isEachMemberOut(work);
-    if (nowMs - work.endingSinceMs > stallMs + STALL_MARGIN_MS) {
-      // who still does not answer forms no group anyway
-      work.isHeadReleased = true;
-    }
-  }
-
-  /** Whether each member but the head has left, is no longer listed or does not answer. */
-  private boolean isEachMemberOut(GroupWork work) {
-    for (String id : work.group.members()) {
-      Upstream member = surroundings.upstream(id);
-      boolean isOut =
-          id.equals(work.group.head())
-              || member == null
-              || work.left.contains(id)
-              || probes.isKnownSilent(member);
-      if (!isOut) {
-        return false;
-      }
-    }
-    return true;
+    release.step(work, nowMs);
   }
 
   // all groups
