Fault soak: daemons as processes, faults from outside, promises checked from both ends

Change: FaultSoakTest starts three daemons as processes before stand-ins, with loopback proxies on the paths to the store and to upstreams (delay, one way, silence, reset) and signals (stop, pause, kill), in series and overlapping, from a seed. Checked: whole and signed answers, at most one run of what may not be repeated, 'not run' is true, no host joins while its old head serves, no proper request denied, service within 12 s and a new key in force within 2 s after the faults.

--- a/limpet-entryd/src/test/java/org/limpetring/entryd/StandinPlatform.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/StandinPlatform.java
@@ -14,7 +14,7 @@
 import java.util.concurrent.Executors;
 
 /** Stand-in for the platform's store, by its published calls; in memory, with fault switches. */
-final class StandinPlatform implements AutoCloseable {
+public final class StandinPlatform implements AutoCloseable {
 
   private record Stored(String kind, String name, long revision, String spec, boolean isRemoved) {}
 
@@ -24,24 +24,26 @@
   private long revision = 1;
   private volatile boolean isDown;
 
-  StandinPlatform() throws IOException {
+  /** Empty store on a free loopback port. */
+  public StandinPlatform() throws IOException {
     server = HttpServer.create(new InetSocketAddress(InetAddress.getLoopbackAddress(), 0), 64);
     server.setExecutor(Executors.newCachedThreadPool());
     server.createContext("/api/objects/", this::answer);
     server.start();
   }
 
-  InetSocketAddress address() {
+  /** Where it listens. */
+  public InetSocketAddress address() {
     return server.getAddress();
   }
 
   /** Refuses every call, or no longer. */
-  void setDown(boolean isDown) {
+  public void setDown(boolean isDown) {
     this.isDown = isDown;
   }
 
   /** Writes an object. */
-  synchronized void put(String kind, String name, String spec) {
+  public synchronized void put(String kind, String name, String spec) {
     Stored stored = new Stored(kind, name, ++revision, spec, false);
     objects.put(kind + '/' + name, stored);
     history.add(stored);
@@ -49,7 +51,7 @@
   }
 
   /** Removes an object. */
-  synchronized void remove(String kind, String name) {
+  public synchronized void remove(String kind, String name) {
     if (objects.remove(kind + '/' + name) != null) {
       history.add(new Stored(kind, name, ++revision, "null", true));
       notifyAll();
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/StandinUpstream.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/StandinUpstream.java
@@ -14,15 +14,17 @@
 import java.util.Map;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Consumer;
+import java.util.function.IntUnaryOperator;
 
 /**
  * Stand-in for a model engine or a plain service, by the published calls; lists itself in the
  * store, obeys orders, and misbehaves on request.
  */
-final class StandinUpstream implements AutoCloseable {
+public final class StandinUpstream implements AutoCloseable {
 
   /** What the next request meets. */
-  enum Fault {
+  public enum Fault {
     NONE,
     BREAK_AFTER_ONE_EVENT,
     BREAK_INSIDE_AN_EVENT,
@@ -35,17 +37,24 @@
 
   private static final int EVENTS = 5;
 
-  final String id;
+  /** Its id in the list. */
+  public final String id;
+
   private final String service;
   private final boolean isEngine;
   private final StandinPlatform store;
   private final ServerSocket socket;
   private final AtomicReference<Fault> fault;
+  private final IntUnaryOperator listedPort;
   private String group = "null";
+  private Consumer<String> onJoin = order -> {};
 
   /** Request lines and headers as received. */
   final List<Map<String, String>> received = new CopyOnWriteArrayList<>();
 
+  /** Headers of the requests that began to run. */
+  public final List<Map<String, String>> ran = new CopyOnWriteArrayList<>();
+
   /** Upstream that shares its fault with others: whoever is asked first misbehaves, once. */
   StandinUpstream(
       String id,
@@ -54,12 +63,25 @@
       StandinPlatform store,
       AtomicReference<Fault> fault)
       throws IOException {
+    this(id, service, isEngine, store, fault, port -> port);
+  }
+
+  /** Upstream that lists another port than its own, such as a proxy's. */
+  public StandinUpstream(
+      String id,
+      String service,
+      boolean isEngine,
+      StandinPlatform store,
+      AtomicReference<Fault> fault,
+      IntUnaryOperator listedPort)
+      throws IOException {
     this.fault = fault;
     this.id = id;
     this.service = service;
     this.isEngine = isEngine;
     this.store = store;
     this.socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    this.listedPort = listedPort;
     Thread acceptor = new Thread(this::accept, id);
     acceptor.setDaemon(true);
     acceptor.start();
@@ -78,7 +100,7 @@
                 + group
             : "";
     return "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"a\",\"slots\":4,\"state\":\"%s\",\"cold_left_ms\":0,\"born\":7%s}"
-        .formatted(service, socket.getLocalPort(), state, engine);
+        .formatted(service, listedPort.applyAsInt(socket.getLocalPort()), state, engine);
   }
 
   private void accept() {
@@ -139,6 +161,9 @@
     }
     received.add(request);
     Fault now = fault.getAndSet(Fault.NONE);
+    if (now != Fault.NOT_EXECUTED) {
+      ran.add(request);
+    }
     String echo = "X-Limpetring-Request-Id: " + request.get("x-limpetring-request-id") + "\r\n";
     String seal = "X-Limpetring-Server-Seal: seal-" + id + "\r\n";
     switch (now) {
@@ -211,7 +236,24 @@
             .formatted(status, headers, body.length(), body));
   }
 
-  private synchronized void obey(String order) {
+  /** Has {@code check} look at each order to join before it is obeyed. */
+  public void checkJoins(Consumer<String> check) {
+    onJoin = check;
+  }
+
+  /** Its group as it reports it, JSON or {@code null}. */
+  public synchronized String group() {
+    return group;
+  }
+
+  private void obey(String order) {
+    if (order.contains("\"op\":\"join\"")) {
+      onJoin.accept(value(order, "group"));
+    }
+    apply(order);
+  }
+
+  private synchronized void apply(String order) {
     String name = value(order, "group");
     if (order.contains("\"op\":\"join\"")) {
       String members = order.substring(order.indexOf('[') + 1, order.indexOf(']'));
@@ -230,7 +272,8 @@
         .formatted(name, epoch, rank, state);
   }
 
-  private static String value(String json, String field) {
+  /** Value of a field of flat JSON, or an empty text. */
+  public static String value(String json, String field) {
     int at = json.indexOf("\"" + field + "\":");
     if (at < 0) {
       return "";
