--- /dev/null
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/StandinConfig.java
@@ -0,0 +1,32 @@
+package org.limpetring.entryd;
+
+/**
+ * A small configuration as operators write it: a resumable stream at {@code /s/}, an order that may
+ * run once at {@code /o/}, a read at {@code /r/}.
+ */
+public final class StandinConfig {
+
+  private StandinConfig() {}
+
+  /** Its JSON; {@code key} is the only key. */
+  public static String json(int version, String key) {
+    return ("{\"version\":%d,\"routes\":["
+            + route("s", "streaming", "engines", true)
+            + ","
+            + route("o", "non_idempotent", "plain", false)
+            + ","
+            + route("r", "idempotent", "plain", false)
+            + "],\"services\":[{\"name\":\"engines\",\"max_conns\":100,\"engine\":{\"slots\":4,"
+            + "\"step_ms\":5,\"read_per_s\":50000,\"stride\":7,\"chunk\":2048,\"loads_per_s\":4.5,"
+            + "\"loads_at_once\":6,\"usual\":{\"prompt\":100,\"answer\":50},\"models\":[{\"name\":\"m\","
+            + "\"size\":2,\"share\":1,\"pace\":1,\"load_s\":1,\"warm_s\":0.1}]}},"
+            + "{\"name\":\"plain\",\"max_conns\":100}],"
+            + "\"tenants\":[{\"name\":\"team\",\"api_keys\":[\"%s\"]}],\"limits\":{}}")
+        .formatted(version, key);
+  }
+
+  private static String route(String prefix, String kind, String service, boolean isResumable) {
+    return "{\"name\":\"%s\",\"host\":\"127.0.0.1\",\"prefix\":\"/%s/\",\"kind\":\"%s\",\"timeout_ms\":3000,\"slo_ms\":500,\"attempts\":2,\"priority\":1,\"resumable\":%s,\"service\":\"%s\"}"
+        .formatted(prefix, prefix, kind, isResumable, service);
+  }
+}
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/StandinUpstream.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/StandinUpstream.java
@@ -35,6 +35,10 @@
     SHORT_BODY
   }
 
+  /** Whole stream of an engine. */
+  public static final String WHOLE =
+      "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\nid: 4\ndata: e4\n\nid: 5\ndata: e5\n\n";
+
   private static final int EVENTS = 5;
 
   /** Its id in the list. */
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
@@ -33,9 +33,6 @@
 /** The whole path in one process: callers, daemon, store, engines and a plain service. */
 final class WholePathTest {
 
-  private static final String WHOLE =
-      "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\nid: 4\ndata: e4\n\nid: 5\ndata: e5\n\n";
-
   private final HttpClient client =
       HttpClient.newBuilder().version(HttpClient.Version.HTTP_1_1).build();
   private final AtomicReference<Fault> engineFault = new AtomicReference<>(Fault.NONE);
@@ -49,7 +46,7 @@
   @BeforeEach
   void start() throws IOException {
     store = new StandinPlatform();
-    store.put("config", "main", config(3, "k"));
+    store.put("config", "main", StandinConfig.json(3, "k"));
     for (String id : List.of("i-1", "i-2", "i-3", "i-4")) {
       engines.add(new StandinUpstream(id, "engines", true, store, engineFault));
     }
@@ -92,27 +89,6 @@
     }
   }
 
-  private static String config(int version, String key) {
-    return ("{\"version\":%d,\"routes\":["
-            + route("s", "streaming", "engines", true)
-            + ","
-            + route("o", "non_idempotent", "plain", false)
-            + ","
-            + route("r", "idempotent", "plain", false)
-            + "],\"services\":[{\"name\":\"engines\",\"max_conns\":100,\"engine\":{\"slots\":4,"
-            + "\"step_ms\":5,\"read_per_s\":50000,\"stride\":7,\"chunk\":2048,\"loads_per_s\":4.5,"
-            + "\"loads_at_once\":6,\"usual\":{\"prompt\":100,\"answer\":50},\"models\":[{\"name\":\"m\","
-            + "\"size\":2,\"share\":1,\"pace\":1,\"load_s\":1,\"warm_s\":0.1}]}},"
-            + "{\"name\":\"plain\",\"max_conns\":100}],"
-            + "\"tenants\":[{\"name\":\"team\",\"api_keys\":[\"%s\"]}],\"limits\":{}}")
-        .formatted(version, key);
-  }
-
-  private static String route(String prefix, String kind, String service, boolean isResumable) {
-    return "{\"name\":\"%s\",\"host\":\"127.0.0.1\",\"prefix\":\"/%s/\",\"kind\":\"%s\",\"timeout_ms\":3000,\"slo_ms\":500,\"attempts\":2,\"priority\":1,\"resumable\":%s,\"service\":\"%s\"}"
-        .formatted(prefix, prefix, kind, isResumable, service);
-  }
-
   private HttpResponse<String> ask(String path, String key)
       throws IOException, InterruptedException {
     InetSocketAddress address = settings.callerAddress();
@@ -131,7 +107,7 @@
   @Test
   void aStreamIsPassedOnWhole() throws Exception {
     HttpResponse<String> answer = ask("/s/x", "k");
-    assertThat(answer.body()).isEqualTo(WHOLE);
+    assertThat(answer.body()).isEqualTo(StandinUpstream.WHOLE);
     assertThat(answer.headers().firstValue("X-Limpetring-Server-Seal").orElse(""))
         .startsWith("seal-");
   }
@@ -140,7 +116,7 @@
   void aStreamThatBreaksGoesOnAtAnotherGroupInTheSameAnswer() throws Exception {
     for (Fault fault : List.of(Fault.BREAK_AFTER_ONE_EVENT, Fault.BREAK_INSIDE_AN_EVENT)) {
       engineFault.set(fault);
-      assertThat(ask("/s/x", "k").body()).isEqualTo(WHOLE);
+      assertThat(ask("/s/x", "k").body()).isEqualTo(StandinUpstream.WHOLE);
     }
   }
 
@@ -185,7 +161,7 @@
 
   @Test
   void aNewConfigurationIsInForceWithinTheBound() {
-    store.put("config", "main", config(9, "k2"));
+    store.put("config", "main", StandinConfig.json(9, "k2"));
     await().atMost(Duration.ofSeconds(2)).until(() -> ask("/r/x", "k").statusCode() == 401);
     await().atMost(Duration.ofSeconds(2)).until(() -> ask("/r/x", "k2").statusCode() == 200);
   }
@@ -195,7 +171,7 @@
     store.setDown(true);
     for (int i = 0; i < 10; i++) {
       assertThat(ask("/r/x", "k").statusCode()).isEqualTo(200);
-      assertThat(ask("/s/x", "k").body()).isEqualTo(WHOLE);
+      assertThat(ask("/s/x", "k").body()).isEqualTo(StandinUpstream.WHOLE);
     }
     store.setDown(false);
   }
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/soak/LoopbackProxy.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/soak/LoopbackProxy.java
@@ -9,6 +9,7 @@
 import java.net.Socket;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.TimeUnit;
 
 /** Forwards TCP connections on loopback addresses, and harms them on request. */
 final class LoopbackProxy implements AutoCloseable {
@@ -85,14 +86,12 @@
       for (int count = in.read(buffer); count >= 0; count = in.read(buffer)) {
         Mode now = mode;
         if (now == Mode.DELAY) {
-          Thread.sleep(DELAY_MS);
+          TimeUnit.MILLISECONDS.sleep(DELAY_MS);
         }
         boolean isLost = now == Mode.SILENT || (now == Mode.DEAF && isToServer);
         if (isLost) {
           // later bytes would be out of order: the connection stays silent for good
-          while (in.read(buffer) >= 0) {
-            // swallowed
-          }
+          in.transferTo(OutputStream.nullOutputStream());
           return;
         }
         out.write(buffer, 0, count);
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/soak/SoakWorld.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/soak/SoakWorld.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.atomic.AtomicInteger;
 import java.util.concurrent.atomic.AtomicReference;
+import org.limpetring.entryd.StandinConfig;
 import org.limpetring.entryd.StandinPlatform;
 import org.limpetring.entryd.StandinUpstream;
 import org.limpetring.entryd.StandinUpstream.Fault;
@@ -17,9 +18,6 @@
 /** Store, engines, a plain service, daemons as processes, and what was seen of them. */
 final class SoakWorld implements AutoCloseable {
 
-  static final String WHOLE =
-      "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\nid: 4\ndata: e4\n\nid: 5\ndata: e5\n\n";
-
   private static final int DAEMONS = 3;
   private static final int ENGINES = 5;
 
@@ -37,6 +35,7 @@
   /** Requests of which a caller was told that they have not run and never will. */
   private final Map<String, Integer> saidNotRun = new ConcurrentHashMap<>();
 
+  private final Map<Integer, Integer> proxyPorts = new ConcurrentHashMap<>();
   private final List<StandinUpstream> engines = new ArrayList<>();
   private final StandinUpstream plain;
   private int version = 1;
@@ -72,32 +71,10 @@
         });
   }
 
-  private final Map<Integer, Integer> proxyPorts = new ConcurrentHashMap<>();
-
   /** Writes a newer configuration in which {@code key} is the only key. */
   void configure(String key) {
     version += 3;
-    store.put(
-        "config",
-        "main",
-        ("{\"version\":%d,\"routes\":["
-                + route("s", "streaming", "engines", true)
-                + ","
-                + route("o", "non_idempotent", "plain", false)
-                + ","
-                + route("r", "idempotent", "plain", false)
-                + "],\"services\":[{\"name\":\"engines\",\"max_conns\":100,\"engine\":{\"slots\":4,"
-                + "\"step_ms\":5,\"read_per_s\":50000,\"stride\":7,\"chunk\":2048,\"loads_per_s\":4.5,"
-                + "\"loads_at_once\":6,\"usual\":{\"prompt\":100,\"answer\":50},\"models\":[{\"name\":\"m\","
-                + "\"size\":2,\"share\":1,\"pace\":1,\"load_s\":1,\"warm_s\":0.1}]}},"
-                + "{\"name\":\"plain\",\"max_conns\":100}],"
-                + "\"tenants\":[{\"name\":\"team\",\"api_keys\":[\"%s\"]}],\"limits\":{}}")
-            .formatted(version, key));
-  }
-
-  private static String route(String prefix, String kind, String service, boolean isResumable) {
-    return "{\"name\":\"%s\",\"host\":\"127.0.0.1\",\"prefix\":\"/%s/\",\"kind\":\"%s\",\"timeout_ms\":3000,\"slo_ms\":500,\"attempts\":2,\"priority\":1,\"resumable\":%s,\"service\":\"%s\"}"
-        .formatted(prefix, prefix, kind, isResumable, service);
+    store.put("config", "main", StandinConfig.json(version, key));
   }
 
   /** A host joins another group only when it has left the one whose head still serves. */
@@ -122,7 +99,7 @@
       answered.incrementAndGet();
       boolean isWhole =
           path.startsWith("/s/")
-              ? answer.body().equals(WHOLE)
+              ? answer.body().equals(StandinUpstream.WHOLE)
               : answer.body().equals("answer of p-1");
       if (!isWhole || !answer.headers().containsKey("x-limpetring-server-seal")) {
         violations.add(id + " got " + answer);
