A lagging peer no longer hides that a watch is behind

Cause: the lag of a watch was timed from the last announcement, and any announcement of an older revision restarted the time. Change: one announced revision is awaited at a time, with the time of its announcement; only reaching it ends the wait. Measured: KindWatcherTest.announcementOfALaggingPeerDoesNotRestartTheLag failed before (no list after 1 s), passes now.

--- a/limpet-entry/src/main/java/org/limpetring/entry/KindWatcher.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/KindWatcher.java
@@ -75,7 +75,11 @@
   private boolean isPaused;
   private long newestRevision;
   private long peerRevision;
-  private long laggingSinceMs = Long.MAX_VALUE;
+
+  /** Revision announced by a peer that this watcher is to reach, and when it was announced. */
+  private long awaitedRevision;
+
+  private long awaitedSinceMs;
   private long lastRelistMs;
 
   KindWatcher(
@@ -120,13 +124,14 @@
     long nowMs = clock.nowMs();
     peerRevision = Math.max(peerRevision, announcedRevision);
     long knownRevision = Math.max(listedRevision, Math.max(revision, newestRevision));
-    if (!isListed || announcedRevision <= knownRevision) {
-      laggingSinceMs = Long.MAX_VALUE;
-      return;
+    if (knownRevision >= awaitedRevision) {
+      // one revision is awaited at a time: the newest one is ahead all the time while many change
+      awaitedRevision = peerRevision;
+      awaitedSinceMs = nowMs;
     }
-    laggingSinceMs = Math.min(laggingSinceMs, nowMs);
     long toleranceMs = MAX_LAG_MS + rewatchDelayMs.getAsLong();
-    if (nowMs - laggingSinceMs < toleranceMs || nowMs - lastRelistMs < toleranceMs) {
+    boolean isLagging = isListed && knownRevision < awaitedRevision;
+    if (!isLagging || nowMs - awaitedSinceMs < toleranceMs || nowMs - lastRelistMs < toleranceMs) {
       return;
     }
     lastRelistMs = nowMs;
@@ -137,7 +142,7 @@
         "revision",
         newestRevision,
         "othersRevision",
-        announcedRevision);
+        awaitedRevision);
     store.list(
         kind,
         PlatformStore.Consistency.LINEARIZABLE,
--- a/limpet-entry/src/test/java/org/limpetring/entry/KindWatcherTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/KindWatcherTest.java
@@ -127,6 +127,40 @@
     assertThat(store.pendingCalls).isEmpty();
   }
 
+  /** A peer that lags itself must not hide the lag that the planner announced. */
+  @Test
+  void announcementOfALaggingPeerDoesNotRestartTheLag() {
+    watcher.start();
+    store.takeOldest().reply(objects(5));
+    store.takeOldest();
+    for (int elapsedMs = 0; elapsedMs <= 1_000; elapsedMs += 100) {
+      watcher.onPeerRevision(9);
+      watcher.onPeerRevision(4);
+      advanceTime(100);
+    }
+    assertThat(store.takeOldest().operation()).isEqualTo("list");
+  }
+
+  /** A stale watch that always returns something, but older than what peers have announced. */
+  @Test
+  void listsWhileAStaleWatchOnlyCatchesUpSlowly() {
+    watcher.start();
+    store.takeOldest().reply(objects(5));
+    for (int round = 0; round < 12; round++) {
+      watcher.onPeerRevision(100 + round);
+      store.pendingCalls.stream()
+          .filter(call -> call.operation().equals("watch"))
+          .toList()
+          .forEach(
+              call -> {
+                store.pendingCalls.remove(call);
+                call.reply(objects(call.revision() + 1, "a"));
+              });
+      advanceTime(100);
+    }
+    assertThat(store.pendingCalls.stream().map(ScriptedStore.Call::operation)).contains("list");
+  }
+
   /** A stale watch returns an upstream that a newer list no longer contains. */
   @Test
   void ignoresChangesOlderThanTheList() {
