Upstream bytes without end and late second answers are bounded and skipped

Cause: interim heads, responses to other requests and unframed bodies that never end held their request until its deadline; bytes glued behind a complete response stayed in the decoder of a pooled connection and spoiled the next response; a late second copy that repeats no request id, on a reused connection, was handed to the next caller. Change: what precedes the awaited response is skipped up to 16 heads and 1 MiB, then the connection is closed; a connection with unread bytes isn't pooled; a response without an id counts as another request's on a connection that has carried one before. Measured: of 12 cases of HttpConnectionPoolTest four endless ones ran into their 10 s and the glued bytes failed before; WholePathTest.responseWithoutIdOnAReusedConnectionIsSkipped failed before; all pass now. Endless status lines, headers, chunk sizes and trailers, and responses that break off in every framing, were right already; their tests stay.

--- a/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
@@ -244,8 +244,12 @@
   @Override
   public boolean onHead(HttpResponse head) {
     ResponseHead parsedHead = core.format().readResponse(head);
-    if (parsedHead.requestId() != null && !parsedHead.requestId().equals(id())) {
-      requestLog.mismatched(upstreamId(), parsedHead.requestId());
+    String responseId = parsedHead.requestId();
+    // without an id, a late copy of an earlier response can't be told from this request's response
+    boolean isOwn =
+        responseId == null ? exchange != null && !exchange.isReused() : responseId.equals(id());
+    if (!isOwn) {
+      requestLog.mismatched(upstreamId(), responseId == null ? "" : responseId);
       return false;
     }
     responseHead = parsedHead;
--- a/limpet-entry/src/main/java/org/limpetring/entry/net/Exchange.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/net/Exchange.java
@@ -12,7 +12,7 @@
   @Nullable Channel channel;
   boolean isDone;
   boolean isWritten;
-  boolean isResponseStarted;
+  boolean isReused;
 
   Exchange(FullHttpRequest request, ExchangeListener listener) {
     this.request = request;
@@ -30,6 +30,11 @@
     }
   }
 
+  /** Whether the connection has carried a response to another request before. */
+  public boolean isReused() {
+    return isReused;
+  }
+
   /** Pauses or resumes reading of the response, as backpressure for slow callers. */
   public void setReading(boolean isReading) {
     if (channel != null && !isDone) {
--- a/limpet-entry/src/main/java/org/limpetring/entry/net/HttpConnectionPool.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/net/HttpConnectionPool.java
@@ -11,9 +11,11 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.FullHttpRequest;
-import io.netty.handler.codec.http.HttpClientCodec;
 import io.netty.handler.codec.http.HttpContent;
+import io.netty.handler.codec.http.HttpDecoderConfig;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
+import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
 import io.netty.handler.codec.http.HttpStatusClass;
 import io.netty.handler.codec.http.HttpUtil;
@@ -31,14 +33,23 @@
 /**
  * Pool of HTTP/1.1 client connections without pipelining; idle connections are reused.
  *
- * <p>A connection is reused only after the request was written and the response read completely.
- * Unexpected bytes on an idle connection close it. All methods run on the event loop.
+ * <p>A connection is reused only after the request was written and the response read completely,
+ * with no byte behind it. Unexpected bytes on an idle connection close it. What precedes the
+ * awaited response is skipped up to a limit. All methods run on the event loop.
  */
 public final class HttpConnectionPool {
 
-  private static final int MAX_LINE_BYTES = 8_192;
-  private static final int MAX_HEADER_BYTES = 65_536;
-  private static final int MAX_CHUNK_BYTES = 65_536;
+  private static final HttpDecoderConfig DECODER_CONFIG =
+      new HttpDecoderConfig()
+          .setMaxInitialLineLength(8_192)
+          .setMaxHeaderSize(65_536)
+          .setMaxChunkSize(65_536);
+
+  /** Bytes of other requests' responses after which a connection is given up. */
+  private static final long MAX_SKIPPED_BYTES = 1_048_576;
+
+  /** Interim responses and responses to other requests that may precede the awaited one. */
+  private static final int MAX_SKIPPED_HEADS = 16;
 
   /** Idle connections per address; rarely do more requests than this end at the same time. */
   private static final int MAX_IDLE_PER_ADDRESS = 8;
@@ -68,7 +79,7 @@
           protected void initChannel(Channel channel) {
             channel
                 .pipeline()
-                .addLast(new HttpClientCodec(MAX_LINE_BYTES, MAX_HEADER_BYTES, MAX_CHUNK_BYTES));
+                .addLast(new HttpRequestEncoder(), new ResponseDecoder(DECODER_CONFIG));
           }
         });
   }
@@ -163,20 +174,29 @@
     private boolean isKeepAlive;
     private boolean isReset;
     private boolean isSkippingResponse;
+    private int skippedHeads;
+    private long skippedBytes;
     private long idleTimeoutMs = DEFAULT_IDLE_TIMEOUT_MS;
     private long idleUntilMs;
     private boolean isIdle;
+    private boolean hasCarriedResponse;
+    private final ResponseDecoder decoder;
 
     Connection(Channel channel, InetSocketAddress address) {
       this.channel = channel;
       this.address = address;
+      this.decoder = channel.pipeline().get(ResponseDecoder.class);
     }
 
     void start(Exchange exchange) {
       current = exchange;
       isKeepAlive = HttpUtil.isKeepAlive(exchange.request);
       isSkippingResponse = false;
+      skippedHeads = 0;
+      skippedBytes = 0;
       exchange.channel = channel;
+      exchange.isReused = hasCarriedResponse;
+      decoder.setHeadRequest(exchange.request.method().equals(HttpMethod.HEAD));
       channel.config().setAutoRead(true);
       var unused =
           channel
@@ -222,16 +242,15 @@
     }
 
     private void readHead(Exchange exchange, HttpResponse head) {
-      if (head.status().codeClass() == HttpStatusClass.INFORMATIONAL) {
-        isSkippingResponse = true;
-        return;
-      }
-      isSkippingResponse = !exchange.listener.onHead(head);
+      boolean isInterim = head.status().codeClass() == HttpStatusClass.INFORMATIONAL;
+      isSkippingResponse = isInterim || !exchange.listener.onHead(head);
       if (isSkippingResponse) {
-        isKeepAlive = false;
+        isKeepAlive = isKeepAlive && isInterim;
+        if (++skippedHeads > MAX_SKIPPED_HEADS) {
+          end(SendFailure.GARBLED);
+        }
         return;
       }
-      exchange.isResponseStarted = true;
       boolean isDelimited =
           HttpUtil.isContentLengthSet(head) || HttpUtil.isTransferEncodingChunked(head);
       isKeepAlive = isKeepAlive && HttpUtil.isKeepAlive(head) && isDelimited;
@@ -240,7 +259,13 @@
 
     private void readBody(Exchange exchange, HttpContent content) {
       ByteBuf data = content.content();
-      if (!isSkippingResponse && data.isReadable()) {
+      if (isSkippingResponse) {
+        skippedBytes += data.readableBytes();
+        if (skippedBytes > MAX_SKIPPED_BYTES) {
+          end(SendFailure.GARBLED);
+          return;
+        }
+      } else if (data.isReadable()) {
         exchange.listener.onBody(data);
       }
       if (!(content instanceof LastHttpContent) || exchange.isDone) {
@@ -260,7 +285,10 @@
     private void completeExchange(Exchange exchange) {
       exchange.isDone = true;
       current = null;
-      boolean isReusable = isKeepAlive && exchange.isWritten && channel.isActive();
+      hasCarriedResponse = true;
+      // bytes after the response are a second one, or none at all
+      boolean isReusable =
+          isKeepAlive && exchange.isWritten && channel.isActive() && !decoder.hasUnreadBytes();
       if (isReusable) {
         returnToPool();
       }
--- /dev/null
+++ b/limpet-entry/src/test/java/org/limpetring/entry/net/HttpConnectionPoolTest.java
@@ -0,0 +1,162 @@
+package org.limpetring.entry.net;
+
+import static com.google.common.truth.Truth.assertThat;
+import static org.awaitility.Awaitility.await;
+import static org.limpetring.entry.net.ScriptedServer.text;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.handler.codec.http.DefaultFullHttpRequest;
+import io.netty.handler.codec.http.HttpMethod;
+import io.netty.handler.codec.http.HttpResponse;
+import io.netty.handler.codec.http.HttpVersion;
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
+import org.limpetring.base.Clock;
+
+final class HttpConnectionPoolTest {
+
+  private static final String ID = "id";
+
+  /** Bytes without end: a start, and what is repeated until the client closes. */
+  enum Endless {
+    STATUS_LINE("HTTP/1.1 200 ", "xxxxxxxxxxxxxxxx"),
+    HEADER("HTTP/1.1 200 OK\r\nx: ", "xxxxxxxxxxxxxxxx"),
+    HEADERS("HTTP/1.1 200 OK\r\n", "x: y\r\n"),
+    INTERIM_HEADS("", "HTTP/1.1 102 Wait\r\n\r\n"),
+    CHUNK_SIZE("HTTP/1.1 200 OK\r\nid: own\r\nTransfer-Encoding: chunked\r\n\r\n1;", "xxxxxxxx"),
+    TRAILERS("HTTP/1.1 200 OK\r\nid: own\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "x: y\r\n"),
+    OTHERS_CHUNKS(
+        "HTTP/1.1 200 OK\r\nid: other\r\nTransfer-Encoding: chunked\r\n\r\n", "4\r\nmore\r\n"),
+    OTHERS_UNFRAMED_BODY("HTTP/1.1 200 OK\r\nid: other\r\n\r\n", "more and more "),
+    OTHERS_RESPONSES("", "HTTP/1.1 200 OK\r\nid: other\r\nContent-Length: 0\r\n\r\n"),
+    NO_HTTP("", "\0\1\2\3 no answer");
+
+    private final String start;
+    private final String repeated;
+
+    Endless(String start, String repeated) {
+      this.start = start;
+      this.repeated = repeated;
+    }
+
+    void write(java.io.OutputStream out) throws IOException {
+      text(out, start);
+      byte[] block = repeated.repeat(256).getBytes(StandardCharsets.ISO_8859_1);
+      while (true) {
+        out.write(block);
+      }
+    }
+  }
+
+  private final MultiThreadIoEventLoopGroup loops =
+      new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+  private final EventLoop loop = loops.next();
+  private final HttpConnectionPool pool = new HttpConnectionPool(loop, Clock.system());
+
+  @AfterEach
+  void stop() {
+    var unused = loops.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS);
+  }
+
+  /** Completes with the body, or with the failure's name. */
+  private static final class Listener implements ExchangeListener {
+    final CompletableFuture<String> result = new CompletableFuture<>();
+    private final StringBuilder body = new StringBuilder();
+
+    @Override
+    public boolean onHead(HttpResponse head) {
+      return "own".equals(head.headers().get(ID));
+    }
+
+    @Override
+    public void onBody(ByteBuf data) {
+      body.append(data.toString(StandardCharsets.ISO_8859_1));
+    }
+
+    @Override
+    public void onEnd() {
+      result.complete(body.toString());
+    }
+
+    @Override
+    public void onFailure(SendFailure failure) {
+      result.complete(failure.name());
+    }
+  }
+
+  private String send(ScriptedServer server) throws Exception {
+    Listener listener = new Listener();
+    loop.execute(
+        () ->
+            pool.send(
+                server.address(),
+                new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1, HttpMethod.GET, "/", Unpooled.EMPTY_BUFFER),
+                false,
+                1_000,
+                listener));
+    return listener.result.get(10, TimeUnit.SECONDS);
+  }
+
+  @ParameterizedTest
+  @EnumSource
+  void bytesWithoutEndFailTheExchangeAndCloseTheConnection(Endless kind) throws Exception {
+    try (ScriptedServer server =
+        new ScriptedServer((out, connection, request) -> kind.write(out))) {
+      assertThat(send(server)).isEqualTo(SendFailure.GARBLED.name());
+      await()
+          .atMost(Duration.ofSeconds(5))
+          .until(() -> server.closedByClient.get() == server.connections.get());
+    }
+  }
+
+  /**
+   * The second copy of an answer arrives with the first, or when the connection is in use again.
+   */
+  @Test
+  void secondCopyOfAnAnswerIsNotTheNextAnswer() throws Exception {
+    String copy = "HTTP/1.1 200 OK\r\nid: other\r\nContent-Length: 4\r\n\r\ncopy";
+    String own = "HTTP/1.1 200 OK\r\nid: own\r\nContent-Length: 5\r\n\r\nfirst";
+    for (List<String> answers :
+        List.of(List.of(own, copy + own), List.of(own + copy, own), List.of(own + "junk", own))) {
+      try (ScriptedServer server =
+          new ScriptedServer(
+              (out, connection, request) ->
+                  text(out, answers.get(Math.min(request, answers.size() - 1))))) {
+        assertThat(send(server)).isEqualTo("first");
+        assertThat(send(server)).isEqualTo("first");
+      }
+    }
+  }
+
+  @Test
+  void answerThatBreaksOffHalfwayIsNotComplete() throws Exception {
+    for (String broken :
+        List.of(
+            "HTTP/1.1 200 OK\r\nid: own\r\nContent-Length: 9\r\n\r\nhalf",
+            "HTTP/1.1 200 OK\r\nid: own\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n",
+            "HTTP/1.1 200 OK\r\nid: own\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf",
+            "HTTP/1.1 200 OK\r\nid: own\r\nContent-Le")) {
+      try (ScriptedServer server =
+          new ScriptedServer(
+              (out, connection, request) -> {
+                text(out, broken);
+                throw new IOException("breaks off");
+              })) {
+        assertThat(send(server)).isAnyOf(SendFailure.BROKEN.name(), SendFailure.GARBLED.name());
+      }
+    }
+  }
+}
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/StandinUpstream.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/StandinUpstream.java
@@ -32,6 +32,7 @@
     NOT_EXECUTED,
     NO_SEAL,
     OTHER_REQUESTS_RESPONSE_FIRST,
+    RESPONSE_WITHOUT_ID_FIRST,
     SHORT_BODY
   }
 
@@ -191,6 +192,7 @@
       }
       case OTHER_REQUESTS_RESPONSE_FIRST ->
           send(out, 200, "X-Limpetring-Request-Id: another\r\n" + seal, "not yours");
+      case RESPONSE_WITHOUT_ID_FIRST -> send(out, 200, seal, "not yours");
       default -> {}
     }
     if (!isEngine) {
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
@@ -143,6 +143,14 @@
     assertThat(send("/o/x", "k").body()).isEqualTo("answer of p-1");
   }
 
+  /** A late second copy on a reused connection, from a server that does not repeat the id. */
+  @Test
+  void responseWithoutIdOnAReusedConnectionIsSkipped() throws Exception {
+    assertThat(send("/r/x", "k").body()).isEqualTo("answer of p-1");
+    plainFault.set(Fault.RESPONSE_WITHOUT_ID_FIRST);
+    assertThat(send("/r/x", "k").body()).isEqualTo("answer of p-1");
+  }
+
   @Test
   void upstreamRejectionIsReportedAsNotRunWithRetryAfter() throws Exception {
     plainFault.set(Fault.NOT_EXECUTED);
