Daemons share the free slots of a head instead of all taking them

Change: a daemon keeps the slots it announced and takes its share, by demand, of those the announced total leaves free, rounded at random; under pressure a daemon above its share gives back. Rates of requests by model travel in the datagrams. A daemon that knows no planner takes an equal part of all known daemons. The expected wait counts that share.

--- a/limpet-entry/src/main/java/org/limpetring/entry/EndpointIndex.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EndpointIndex.java
@@ -67,6 +67,11 @@
     return endpointsByPool.getOrDefault(poolKey, List.of());
   }
 
+  /** Endpoints of each pool. */
+  Collection<List<Endpoint>> pools() {
+    return endpointsByPool.values();
+  }
+
   /** Key of the pool that can run a request for a service and model. */
   static String poolKey(EntryConfig config, String service, @Nullable String model) {
     ServiceSpec spec = config.service(service);
@@ -84,14 +89,15 @@
     return headId + '/' + group + '/' + epoch;
   }
 
-  /** Rebuilds the index if it is stale. */
-  void refresh(EntryConfig config) {
+  /** Rebuilds the index if it is stale; returns the endpoints that it did not hold before. */
+  List<Endpoint> refresh(EntryConfig config) {
     if (!isStale) {
-      return;
+      return List.of();
     }
     isStale = false;
     Map<String, Integer> memberCounts = countMembers();
     Map<String, Endpoint> previous = new HashMap<>(endpoints);
+    List<Endpoint> added = new ArrayList<>();
     endpoints.clear();
     endpointsByPool.clear();
     for (PlatformView.UpstreamEntry entry : view.upstreams()) {
@@ -103,12 +109,16 @@
       Endpoint endpoint = endpoint(upstream, service, memberCounts, previous);
       if (endpoint != null && !view.domainsOut().contains(upstream.failureDomain())) {
         endpoints.put(endpoint.key(), endpoint);
+        if (!previous.containsKey(endpoint.key())) {
+          added.add(endpoint);
+        }
         endpointsByPool
             .computeIfAbsent(
                 poolKey(config, service.name(), modelName(endpoint)), key -> new ArrayList<>())
             .add(endpoint);
       }
     }
+    return added;
   }
 
   private @Nullable Endpoint endpoint(
--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
@@ -15,14 +15,17 @@
 import org.limpetring.entry.balancing.Admission;
 import org.limpetring.entry.balancing.ColdRateLimiter;
 import org.limpetring.entry.balancing.Demand;
+import org.limpetring.entry.balancing.DemandMeter;
 import org.limpetring.entry.balancing.Endpoint;
 import org.limpetring.entry.balancing.RetryBudget;
 import org.limpetring.entry.balancing.ShutdownRule;
+import org.limpetring.entry.balancing.SlotShares;
 import org.limpetring.entry.balancing.Verdict;
 import org.limpetring.entry.balancing.WaitQueue;
 import org.limpetring.entry.model.EntryConfig;
 import org.limpetring.entry.model.EntrySettings;
 import org.limpetring.entry.model.Limits;
+import org.limpetring.entry.model.ModelSpec;
 import org.limpetring.entry.model.ServiceSpec;
 import org.limpetring.entry.net.HttpConnectionPool;
 import org.limpetring.entry.net.SendFailure;
@@ -62,6 +65,7 @@
   private final ColdRateLimiter coldRateLimiter;
   private final EndpointIndex index;
   private final SplittableRandom random = new SplittableRandom();
+  private final DemandMeter demandMeter = new DemandMeter();
   private final Map<String, WaitQueue<RequestFlow>> queues = new HashMap<>();
   private final Set<RequestFlow> flows = new HashSet<>();
   private RouteTable table = NO_TABLE;
@@ -69,6 +73,7 @@
   private long stopStartedMs;
   private boolean isTrafficSeen;
   private boolean isDrainScheduled;
+  private long sharedLoadVersion = -1;
 
   EntryCore(
       EntrySettings settings,
@@ -197,7 +202,14 @@
   }
 
   private void refreshIndex() {
-    index.refresh(table.config());
+    List<Endpoint> added = index.refresh(table.config());
+    if (added.isEmpty()) {
+      return;
+    }
+    long nowMs = nowMs();
+    for (Endpoint endpoint : added) {
+      SlotShares.applyToNew(endpoint, demandShare(endpoint.model(), nowMs), random);
+    }
   }
 
   // admission
@@ -213,6 +225,15 @@
     return isTrafficSeen;
   }
 
+  /** Counts a caller's request towards the retry budget and this daemon's share of the slots. */
+  void onCallerRequest(String service, @Nullable String model) {
+    long nowMs = nowMs();
+    retryBudget.onRequest(service, nowMs);
+    if (model != null) {
+      demandMeter.onRequest(model, nowMs);
+    }
+  }
+
   /** Sends a request to an endpoint, queues it, or rejects it. */
   void admit(RequestFlow flow) {
     isTrafficSeen = true;
@@ -282,7 +303,12 @@
     return Admission.decide(
         demand,
         new Admission.AdmissionContext(
-            candidates, ahead, aliveDaemons(nowMs), this::crossDomainCostMs, random),
+            candidates,
+            ahead,
+            aliveDaemons(nowMs),
+            candidates.isEmpty() ? 1 : demandShare(candidates.get(0).model(), nowMs),
+            this::crossDomainCostMs,
+            random),
         nowMs);
   }
 
@@ -434,6 +460,9 @@
     peers.aggregateLoads(nowMs);
     for (Endpoint endpoint : index.all()) {
       endpoint.setPeerInFlight(peers.inFlight(endpoint.key()));
+    }
+    shareSlots(nowMs);
+    for (Endpoint endpoint : index.all()) {
       if (endpoint.model() != null && endpoint.silentMs(nowMs) > endpoint.silenceLimitMs(nowMs)) {
         suspect(endpoint, "silent for " + endpoint.silentMs(nowMs) + " ms");
       }
@@ -447,6 +476,53 @@
     }
   }
 
+  /** Takes this daemon's share of the slots that a new announcement leaves free. */
+  private void shareSlots(long nowMs) {
+    long version = peers.loadVersion(nowMs);
+    if (version == sharedLoadVersion) {
+      return;
+    }
+    sharedLoadVersion = version;
+    for (List<Endpoint> pool : index.pools()) {
+      double share = demandShare(pool.get(0).model(), nowMs);
+      SlotShares.apply(pool, endpoint -> peers.announcedInFlight(endpoint.key()), share, random);
+    }
+  }
+
+  /** This daemon's part of the demand for a model; an equal part for plain upstreams. */
+  private double demandShare(@Nullable ModelSpec model, long nowMs) {
+    return model == null
+        ? 1.0 / Math.max(1, aliveDaemons(nowMs))
+        : peers.demandShare(
+            model.name(), demandMeter.requestsPerMinute(model.name(), nowMs), nowMs);
+  }
+
+  /** Rates of callers' requests by model. */
+  List<PeerState.Demand> demands() {
+    List<PeerState.Demand> demands = new ArrayList<>();
+    demandMeter
+        .requestsPerMinute(nowMs())
+        .forEach(
+            (model, rate) -> demands.add(new PeerState.Demand(PeerState.modelHash(model), rate)));
+    return demands;
+  }
+
+  /** Slots that the fleet's requests for a model occupy on average; 0 if unknown. */
+  double slotsNeeded(String model) {
+    long nowMs = nowMs();
+    int ownRate = demandMeter.requestsPerMinute(model, nowMs);
+    int fleetRate = peers.fleetRequestsPerMinute(model, ownRate, nowMs);
+    return demandMeter.slotsNeeded(model, Math.max(0, fleetRate), nowMs);
+  }
+
+  /** A request was served to its end after {@code runMs} at a model engine. */
+  void onServed(Endpoint endpoint, long runMs) {
+    ModelSpec model = endpoint.model();
+    if (model != null) {
+      demandMeter.onServed(model.name(), runMs, nowMs());
+    }
+  }
+
   /** Closes expired connections and discards outdated state. */
   void sweep() {
     connections.closeExpired();
--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
@@ -353,7 +353,8 @@
         loads,
         opened,
         ended,
-        role.isPlanner() ? peers.fleetLoad(loads, clock.nowMs()) : null);
+        core.demands(),
+        role.isPlanner() ? peers.fleetLoad(loads, core.demands(), clock.nowMs()) : null);
   }
 
   // periodic work
@@ -470,6 +471,11 @@
       return view.domainsOut();
     }
 
+    @Override
+    public double slotsNeeded(String model) {
+      return core.slotsNeeded(model);
+    }
+
     @Override
     public boolean isSuspected(PlannedGroup group) {
       return core.suspectedEndpoints().contains(key(group));
--- a/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
@@ -124,7 +124,7 @@
             arrivedMs);
     timer =
         core.loop().schedule(this::onTimeout, allowedMs + TIMEOUT_SLACK_MS, TimeUnit.MILLISECONDS);
-    core.retryBudget().onRequest(service, arrivedMs);
+    core.onCallerRequest(service, request.model());
     core.admit(this);
   }
 
@@ -364,6 +364,7 @@
       return;
     }
     from.onOutcome(true, nowMs);
+    core.onServed(from, nowMs - sentMs);
     runState = RunState.RAN;
     if (!isStreamStarted) {
       caller.startStream(head.status(), head.headers());
--- a/limpet-entry/src/main/java/org/limpetring/entry/balancing/Admission.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/balancing/Admission.java
@@ -49,6 +49,7 @@
    * @param endpoints endpoints that may run the request
    * @param ahead queued requests that go first
    * @param daemons daemons that send to the same endpoints
+   * @param share this daemon's part of the fleet's demand, from 0 to 1
    * @param extraMs added to the time of an endpoint's first event, such as the network delay
    * @param random source for the sample of endpoints
    */
@@ -56,6 +57,7 @@
       List<Endpoint> endpoints,
       int ahead,
       int daemons,
+      double share,
       ToDoubleFunction<Endpoint> extraMs,
       RandomGenerator random) {}
 
@@ -71,7 +73,7 @@
     if (endpoints.isEmpty()) {
       return new Verdict.Refuse(NO_ENDPOINT_RETRY_MS, "no endpoint serves");
     }
-    double waitMs = expectedWaitMs(endpoints, context.ahead(), context.daemons(), nowMs);
+    double waitMs = expectedWaitMs(endpoints, context.ahead(), context.share(), nowMs);
     long retryAfterMs = clampRetryAfter(waitMs);
     if (demand.isCallerRetry() || !demand.isOnTimeAt(nowMs)) {
       long untilMs =
@@ -145,17 +147,21 @@
    * Expected time until a slot frees up for a request behind {@code ahead} others of this daemon.
    */
   private static double expectedWaitMs(
-      List<Endpoint> endpoints, int ahead, int daemons, long nowMs) {
+      List<Endpoint> endpoints, int ahead, double share, long nowMs) {
     double freedPerMs = 0;
+    int free = 0;
     for (Endpoint endpoint : endpoints) {
       if (endpoint.isUsable(nowMs) && endpoint.model() != null) {
         freedPerMs += endpoint.slots() / Math.max(1, endpoint.runMs(nowMs));
+        free += Math.max(0, endpoint.slots() - endpoint.inFlight());
       }
     }
     if (freedPerMs == 0) {
       return NO_ENDPOINT_RETRY_MS;
     }
-    return (ahead + 1) * Math.max(1, daemons) / freedPerMs / 2;
+    // free slots are shared out with the next announcement, freed ones as they come
+    double behind = Math.max(0, ahead + 1 - share * free);
+    return behind / (share * freedPerMs) / 2;
   }
 
   private static long clampRetryAfter(double waitMs) {
--- a/limpet-entry/src/main/java/org/limpetring/entry/balancing/Endpoint.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/balancing/Endpoint.java
@@ -41,6 +41,7 @@
   private final int slots;
   private int ownInFlight;
   private int peerInFlight;
+  private int ownLimit = Integer.MAX_VALUE;
   private long ownPrefillTokens;
   private double passMs;
   private long passMeasuredMs = Long.MIN_VALUE / 2;
@@ -95,14 +96,24 @@
     return ownInFlight;
   }
 
+  /** Returns the number of requests in progress from the other daemons, as last announced. */
+  public int peerInFlight() {
+    return peerInFlight;
+  }
+
+  /** Sets how many requests this daemon may have in progress here; see {@link SlotShares}. */
+  public void setOwnLimit(int limit) {
+    ownLimit = limit;
+  }
+
   /** Sets the number of requests in progress that the other daemons report. */
   public void setPeerInFlight(int count) {
     peerInFlight = count;
   }
 
-  /** Whether a slot is free for another request. */
+  /** Whether a slot is free for another request of this daemon. */
   public boolean hasFreeSlot(long nowMs) {
-    return inFlight() < slots && nowMs >= fullUntilMs;
+    return inFlight() < slots && ownInFlight < ownLimit && nowMs >= fullUntilMs;
   }
 
   /** Whether new requests may be sent here, which excludes suspected and ejected endpoints. */
--- a/limpet-entry/src/main/java/org/limpetring/entry/group/GroupManager.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/GroupManager.java
@@ -55,6 +55,9 @@
     /** Failure domains that are out of service. */
     Set<String> domainsOut();
 
+    /** Slots that the requests for a model occupy on average; 0 if unknown. */
+    double slotsNeeded(String model);
+
     /** Whether this daemon or another one observes that the group's streams are stalled. */
     boolean isSuspected(PlannedGroup group);
 
--- a/limpet-entry/src/main/java/org/limpetring/entry/peer/AnnouncementSchedule.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/peer/AnnouncementSchedule.java
@@ -55,6 +55,11 @@
     return Math.min(MAX_INTERVAL_MS, Math.max(MIN_INTERVAL_MS, proportionalMs));
   }
 
+  /** Time in which a daemon announces itself to all others while no planner is known. */
+  public static long roundMs(int knownDaemons) {
+    return MAX_INTERVAL_MS * Math.max(1, (knownDaemons + FANOUT - 2) / FANOUT);
+  }
+
   /** Silence after which the planner is treated as unknown. */
   public static long plannerSilenceMs(int knownDaemons) {
     return MISSED_INTERVALS * intervalMs(knownDaemons) + JITTER_MARGIN_MS;
--- a/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerRegistry.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerRegistry.java
@@ -22,6 +22,11 @@
   /** A daemon that was silent for this long is not counted; tolerates several lost datagrams. */
   static final long ALIVE_MS = 2_500;
 
+  /** Least and greatest part of the demand, in equal parts, that a daemon may claim. */
+  private static final double MIN_DEMAND = 0.5;
+
+  private static final double MAX_DEMAND = 4;
+
   private static final class Peer {
     InetSocketAddress address;
     @Nullable PeerState state;
@@ -211,8 +216,9 @@
     remoteLoads = sums;
   }
 
-  /** Load of all daemons, for the planner to announce; {@code own} is this daemon's part. */
-  public PeerState.FleetLoad fleetLoad(List<PeerState.Load> own, long nowMs) {
+  /** Load of all daemons, for the planner to announce; {@code own...} is this daemon's part. */
+  public PeerState.FleetLoad fleetLoad(
+      List<PeerState.Load> own, List<PeerState.Demand> ownDemands, long nowMs) {
     Map<Integer, RemoteLoad> sums = new HashMap<>();
     remoteLoads.forEach(
         (hash, load) -> {
@@ -227,7 +233,84 @@
     List<PeerState.Load> loads = new ArrayList<>(sums.size());
     sums.forEach(
         (hash, load) -> loads.add(new PeerState.Load(hash, load.inFlight, load.isSuspected)));
-    return new PeerState.FleetLoad(alive(nowMs).size() + 1, loads);
+    List<PeerState> alive = alive(nowMs);
+    Map<Integer, Integer> demands = new HashMap<>();
+    alive.forEach(state -> addAll(state.demands(), demands));
+    addAll(ownDemands, demands);
+    List<PeerState.Demand> demandList = new ArrayList<>(demands.size());
+    demands.forEach((model, rate) -> demandList.add(new PeerState.Demand(model, rate)));
+    return new PeerState.FleetLoad(alive.size() + 1, demandList, loads);
+  }
+
+  private static void addAll(List<PeerState.Demand> demands, Map<Integer, Integer> sums) {
+    for (PeerState.Demand demand : demands) {
+      sums.merge(demand.modelHash(), demand.requestsPerMinute(), Integer::sum);
+    }
+  }
+
+  /**
+   * Rate of callers' requests for a model in the whole fleet; -1 if no planner announced it and
+   * this daemon does not aggregate it.
+   */
+  public int fleetRequestsPerMinute(String model, int ownRequestsPerMinute, long nowMs) {
+    PeerState.FleetLoad fleet = fleet(nowMs);
+    if (fleet == null && !isPlanner) {
+      return -1;
+    }
+    int modelHash = PeerState.modelHash(model);
+    if (fleet != null) {
+      return rate(fleet.demands(), modelHash);
+    }
+    int sum = ownRequestsPerMinute;
+    for (PeerState state : alive(nowMs)) {
+      sum += rate(state.demands(), modelHash);
+    }
+    return sum;
+  }
+
+  private static int rate(List<PeerState.Demand> demands, int modelHash) {
+    for (PeerState.Demand demand : demands) {
+      if (demand.modelHash() == modelHash) {
+        return demand.requestsPerMinute();
+      }
+    }
+    return 0;
+  }
+
+  /**
+   * This daemon's part of the fleet's demand for a model, from 0 to 1; an equal part while it is
+   * unknown.
+   */
+  public double demandShare(String model, int ownRequestsPerMinute, long nowMs) {
+    int fleetRate = fleetRequestsPerMinute(model, ownRequestsPerMinute, nowMs);
+    if (fleetRate < 0) {
+      return 1.0 / knownCount();
+    }
+    int daemons = aliveCount(nowMs);
+    double share = (ownRequestsPerMinute + 1.0) / (fleetRate + daemons);
+    double equalShare = 1.0 / daemons;
+    return Math.min(1, Math.min(MAX_DEMAND * equalShare, Math.max(MIN_DEMAND * equalShare, share)));
+  }
+
+  /**
+   * Changes with each announcement of the fleet's load, so that what an announcement leaves free is
+   * shared out once.
+   */
+  public long loadVersion(long nowMs) {
+    Peer current = planner;
+    if (current != null && current.state != null && fleet(nowMs) != null) {
+      return current.state.sequence();
+    }
+    long roundMs =
+        isPlanner
+            ? AnnouncementSchedule.intervalMs(knownCount())
+            : AnnouncementSchedule.roundMs(knownCount());
+    return nowMs / roundMs;
+  }
+
+  /** Requests in progress at an endpoint that this daemon announced last. */
+  public int announcedInFlight(String endpointKey) {
+    return announcedInFlight.getOrDefault(PeerState.endpointHash(endpointKey), 0);
   }
 
   /** The other daemons' requests in progress at an endpoint, as last aggregated. */
--- a/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerState.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerState.java
@@ -21,6 +21,7 @@
  * @param loads requests in progress by endpoint
  * @param openedEndpoints endpoints of groups that the sender, as planner, has recently opened
  * @param endedEndpoints endpoints of groups that the sender, as planner, is dissolving
+ * @param demands rates at which callers' requests reach the sender, by model
  * @param fleet load of all daemons, aggregated by the planner; null from other daemons
  */
 public record PeerState(
@@ -35,6 +36,7 @@
     List<Load> loads,
     List<String> openedEndpoints,
     List<String> endedEndpoints,
+    List<Demand> demands,
     @Nullable FleetLoad fleet) {
 
   /**
@@ -44,16 +46,25 @@
    */
   public record Load(int endpointHash, int inFlight, boolean isSuspected) {}
 
+  /**
+   * Rate of callers' requests for one model.
+   *
+   * @param modelHash identifies the model; see {@link #modelHash}
+   */
+  public record Demand(int modelHash, int requestsPerMinute) {}
+
   /**
    * Total load of all daemons, which the planner aggregates and announces, so that the number of
    * datagrams grows linearly with the number of daemons instead of quadratically.
    *
    * @param daemons number of daemons that the planner recently received from, including itself
+   * @param demands sums over these daemons, by model
    */
-  public record FleetLoad(int daemons, List<Load> loads) {
+  public record FleetLoad(int daemons, List<Demand> demands, List<Load> loads) {
 
-    /** Makes a defensive copy of the list. */
+    /** Makes defensive copies of the lists. */
     public FleetLoad {
+      demands = List.copyOf(demands);
       loads = List.copyOf(loads);
     }
   }
@@ -63,6 +74,11 @@
     return endpointKey.hashCode();
   }
 
+  /** Hash that identifies a model on the wire; a collision only merges two rates. */
+  public static int modelHash(String model) {
+    return model.hashCode();
+  }
+
   private static final int NAME = 1;
   private static final int FAILURE_DOMAIN = 2;
   private static final int SEQUENCE = 3;
@@ -76,6 +92,10 @@
   private static final int FLEET_DAEMONS = 11;
   private static final int FLEET_LOAD = 12;
   private static final int IS_STORE_UNREACHABLE = 13;
+  private static final int DEMAND = 14;
+  private static final int FLEET_DEMAND = 15;
+  private static final int DEMAND_MODEL = 1;
+  private static final int DEMAND_REQUESTS_PER_MINUTE = 2;
   private static final int LOAD_ENDPOINT = 1;
   private static final int LOAD_IN_FLIGHT = 2;
   private static final int LOAD_SUSPECTED = 3;
@@ -86,6 +106,7 @@
     loads = List.copyOf(loads);
     openedEndpoints = List.copyOf(openedEndpoints);
     endedEndpoints = List.copyOf(endedEndpoints);
+    demands = List.copyOf(demands);
   }
 
   /** Encodes this state as a datagram. */
@@ -112,8 +133,14 @@
       for (String ended : endedEndpoints) {
         out.writeString(ENDED_ENDPOINT, ended);
       }
+      for (Demand demand : demands) {
+        out.writeByteArray(DEMAND, encode(demand));
+      }
       if (fleet != null) {
         out.writeInt32(FLEET_DAEMONS, fleet.daemons());
+        for (Demand demand : fleet.demands()) {
+          out.writeByteArray(FLEET_DEMAND, encode(demand));
+        }
         for (Load load : fleet.loads()) {
           out.writeByteArray(FLEET_LOAD, encode(load));
         }
@@ -135,6 +162,15 @@
     return bytes.toByteArray();
   }
 
+  private static byte[] encode(Demand demand) throws IOException {
+    ByteArrayOutputStream bytes = new ByteArrayOutputStream(16);
+    CodedOutputStream out = CodedOutputStream.newInstance(bytes);
+    out.writeFixed32(DEMAND_MODEL, demand.modelHash());
+    out.writeInt32(DEMAND_REQUESTS_PER_MINUTE, demand.requestsPerMinute());
+    out.flush();
+    return bytes.toByteArray();
+  }
+
   /**
    * Decodes a datagram.
    *
@@ -153,7 +189,9 @@
     List<String> endedEndpoints = new ArrayList<>();
     List<String> openedEndpoints = new ArrayList<>();
     List<Long> revisions = new ArrayList<>();
+    List<Demand> demands = new ArrayList<>();
     int fleetDaemons = 0;
+    List<Demand> fleetDemands = new ArrayList<>();
     List<Load> fleetLoads = new ArrayList<>();
     for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
       switch (WireFormat.getTagFieldNumber(tag)) {
@@ -168,7 +206,9 @@
         case REVISION -> revisions.add(in.readInt64());
         case OPENED_ENDPOINT -> openedEndpoints.add(in.readString());
         case ENDED_ENDPOINT -> endedEndpoints.add(in.readString());
+        case DEMAND -> demands.add(decodeDemand(in.readByteArray()));
         case FLEET_DAEMONS -> fleetDaemons = in.readInt32();
+        case FLEET_DEMAND -> fleetDemands.add(decodeDemand(in.readByteArray()));
         case FLEET_LOAD -> fleetLoads.add(decodeLoad(in.readByteArray()));
         default -> in.skipField(tag);
       }
@@ -188,7 +228,8 @@
         loads,
         openedEndpoints,
         endedEndpoints,
-        fleetDaemons > 0 ? new FleetLoad(fleetDaemons, fleetLoads) : null);
+        demands,
+        fleetDaemons > 0 ? new FleetLoad(fleetDaemons, fleetDemands, fleetLoads) : null);
   }
 
   private static Load decodeLoad(byte[] bytes) throws IOException {
@@ -206,4 +247,18 @@
     }
     return new Load(endpointHash, Math.max(0, inFlight), isSuspected);
   }
+
+  private static Demand decodeDemand(byte[] bytes) throws IOException {
+    CodedInputStream in = CodedInputStream.newInstance(bytes);
+    int modelHash = 0;
+    int requestsPerMinute = 0;
+    for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
+      switch (WireFormat.getTagFieldNumber(tag)) {
+        case DEMAND_MODEL -> modelHash = in.readFixed32();
+        case DEMAND_REQUESTS_PER_MINUTE -> requestsPerMinute = in.readInt32();
+        default -> in.skipField(tag);
+      }
+    }
+    return new Demand(modelHash, Math.max(0, requestsPerMinute));
+  }
 }
--- a/limpet-entry/src/test/java/org/limpetring/entry/balancing/AdmissionTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/balancing/AdmissionTest.java
@@ -40,7 +40,8 @@
       long nowMs) {
     return Admission.decide(
         demand,
-        new Admission.AdmissionContext(endpoints, ahead, 3, extraMs, new SplittableRandom(7)),
+        new Admission.AdmissionContext(
+            endpoints, ahead, 3, 1 / 3.0, extraMs, new SplittableRandom(7)),
         nowMs);
   }
 
@@ -122,7 +123,9 @@
     for (int daemon = 0; daemon < 80; daemon++) {
       Verdict verdict =
           Admission.decide(
-              demand(false), new Admission.AdmissionContext(groups, 0, 80, each -> 0, random), 0);
+              demand(false),
+              new Admission.AdmissionContext(groups, 0, 80, 1 / 80.0, each -> 0, random),
+              0);
       sent.merge(((Verdict.Send) verdict).endpoint(), 1, Integer::sum);
     }
     for (Endpoint group : groups) {
--- /dev/null
+++ b/limpet-entry/src/test/java/org/limpetring/entry/balancing/OverloadSimulation.java
@@ -0,0 +1,320 @@
+package org.limpetring.entry.balancing;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.SplittableRandom;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.entry.TestData;
+import org.limpetring.entry.model.EngineSpec;
+import org.limpetring.entry.model.ModelSpec;
+import org.limpetring.entry.peer.AnnouncementSchedule;
+import org.limpetring.entry.peer.PeerRegistry;
+import org.limpetring.entry.peer.PeerState;
+
+/**
+ * Load pattern of a fleet of small daemons in front of the same heads, in simulated time: the real
+ * admission, wait queue and registry, with engines that queue what exceeds their slots.
+ */
+final class OverloadSimulation {
+
+  static final int OBJECTIVE_MS = 300;
+  private static final int DEADLINE_MS = 6_000;
+  private static final int STEP_MS = 5;
+  private static final int RUN_MS = 1_200;
+  private static final String MODEL = "large";
+
+  /** Counts of one phase; times are those of the requests that began to run. */
+  static final class Outcome {
+    int arrived;
+    int onTime;
+    int late;
+    int refused;
+
+    /** Begun after more than a quarter of the objective in the engine's own queue. */
+    int queuedInEngine;
+
+    /** Begun after the caller had left. */
+    int inVain;
+
+    double onTimeShare() {
+      return onTime / (double) Math.max(1, arrived);
+    }
+
+    int begun() {
+      return onTime + late + inVain;
+    }
+  }
+
+  private record Sent(Demand demand, Daemon from, Endpoint endpoint, long sentMs) {}
+
+  private static final class Head {
+    final ArrayDeque<Sent> queue = new ArrayDeque<>();
+    final List<Long> endsMs = new ArrayList<>();
+    final List<Sent> running = new ArrayList<>();
+  }
+
+  private final class Daemon {
+    final String name;
+    final PeerRegistry peers;
+    final Map<Integer, Endpoint> endpoints = new HashMap<>();
+    final WaitQueue<Demand> queue = new WaitQueue<>();
+    final DemandMeter meter = new DemandMeter();
+    final double weight;
+    long nextAnnouncementMs;
+    long loadVersion = -1;
+    long sequence;
+
+    Daemon(int number, long startMs) {
+      name = "daemon-" + number;
+      peers = new PeerRegistry(name);
+      weight = 0.5 + random.nextDouble();
+      nextAnnouncementMs = startMs + random.nextInt(200);
+      for (int i = 0; i < daemonCount; i++) {
+        peers.onListed("daemon-" + i, TestData.address(i + 1));
+      }
+      peers.setPlanner(number == 0);
+    }
+
+    List<Endpoint> pool() {
+      List<Endpoint> pool = new ArrayList<>();
+      for (int i = 0; i < servingHeads; i++) {
+        int head = i;
+        pool.add(endpoints.computeIfAbsent(i, key -> newEndpoint(head)));
+      }
+      return pool;
+    }
+
+    private Endpoint newEndpoint(int head) {
+      String id = "h" + head;
+      Endpoint endpoint =
+          new Endpoint(id, TestData.host(id, 1, "large", null), ENGINE, ENGINE.models().get(0));
+      if (areSlotsShared) {
+        SlotShares.applyToNew(endpoint, peers.demandShare(MODEL, 0, nowMs), random);
+      }
+      return endpoint;
+    }
+
+    double share() {
+      return peers.demandShare(MODEL, meter.requestsPerMinute(MODEL, nowMs), nowMs);
+    }
+
+    void tick() {
+      peers.aggregateLoads(nowMs);
+      List<Endpoint> pool = pool();
+      for (Endpoint endpoint : pool) {
+        endpoint.setPeerInFlight(peers.inFlight(endpoint.key()));
+      }
+      long version = peers.loadVersion(nowMs);
+      if (areSlotsShared && version != loadVersion) {
+        loadVersion = version;
+        SlotShares.apply(
+            pool, endpoint -> peers.announcedInFlight(endpoint.key()), share(), random);
+      }
+      drain();
+    }
+
+    void drain() {
+      int ahead = 0;
+      for (WaitQueue.Waiting<Demand> each : queue.inOrder()) {
+        if (decide(each.demand(), ahead, true)) {
+          ahead++;
+        }
+      }
+    }
+
+    boolean decide(Demand demand, int ahead, boolean isQueued) {
+      Verdict verdict =
+          Admission.decide(
+              demand,
+              new Admission.AdmissionContext(
+                  pool(), ahead, daemonCount, share(), endpoint -> 0, random),
+              nowMs);
+      boolean isWaiting = verdict instanceof Verdict.Wait;
+      if (isQueued && !isWaiting) {
+        queue.remove(demand);
+      }
+      if (!isQueued && isWaiting) {
+        queue.add(demand, demand);
+      }
+      if (verdict instanceof Verdict.Send send) {
+        send.endpoint().onSent(0, nowMs);
+        int head = Integer.parseInt(send.endpoint().key().substring(1));
+        heads.get(head).queue.add(new Sent(demand, this, send.endpoint(), nowMs));
+      } else if (verdict instanceof Verdict.Refuse) {
+        outcome.refused++;
+      }
+      return isWaiting;
+    }
+
+    @Nullable PeerState announcement() {
+      if (nowMs < nextAnnouncementMs) {
+        return null;
+      }
+      nextAnnouncementMs = nowMs + AnnouncementSchedule.intervalMs(daemonCount);
+      List<PeerState.Load> loads = new ArrayList<>();
+      for (Endpoint endpoint : pool()) {
+        if (endpoint.ownInFlight() > 0) {
+          loads.add(
+              new PeerState.Load(
+                  PeerState.endpointHash(endpoint.key()), endpoint.ownInFlight(), false));
+        }
+      }
+      peers.onAnnounced(loads);
+      boolean isPlanner = this == daemons.get(0);
+      List<PeerState.Demand> demands =
+          List.of(
+              new PeerState.Demand(
+                  PeerState.modelHash(MODEL), meter.requestsPerMinute(MODEL, nowMs)));
+      return new PeerState(
+          name,
+          "a",
+          sequence++,
+          1,
+          isPlanner,
+          false,
+          false,
+          List.of(),
+          loads,
+          List.of(),
+          List.of(),
+          demands,
+          isPlanner ? peers.fleetLoad(loads, demands, nowMs) : null);
+    }
+  }
+
+  private static final EngineSpec ENGINE = engine();
+
+  private final SplittableRandom random;
+  private final int daemonCount;
+  private final boolean areSlotsShared;
+  private final List<Head> heads = new ArrayList<>();
+  private final List<Daemon> daemons = new ArrayList<>();
+  private int servingHeads;
+  private long nowMs;
+  private Outcome outcome = new Outcome();
+
+  OverloadSimulation(int daemonCount, int headCount, boolean areSlotsShared, long seed) {
+    this.daemonCount = daemonCount;
+    this.areSlotsShared = areSlotsShared;
+    this.random = new SplittableRandom(seed);
+    this.servingHeads = headCount;
+    for (int i = 0; i < headCount; i++) {
+      heads.add(new Head());
+    }
+    restartDaemons();
+  }
+
+  /** The engine of the other tests with a run of {@link #RUN_MS} at full slots. */
+  private static EngineSpec engine() {
+    EngineSpec spec = TestData.engine();
+    return new EngineSpec(
+        spec.slots(),
+        spec.kvTokens(),
+        spec.stride(),
+        spec.stepMs(),
+        spec.perSequenceMs(),
+        spec.perContextTokenMs(),
+        spec.prefillTokensPerMs(),
+        spec.prefillChunkTokens(),
+        spec.reportLagMs(),
+        spec.loadsPerSecond(),
+        spec.loadsAtOnce(),
+        600,
+        150,
+        spec.formMs(),
+        List.of(new ModelSpec("large", 4, 1, 1, 16_000, 1_600)));
+  }
+
+  /** Requests per second that the slots of the heads in service can complete. */
+  double capacityPerSecond() {
+    return servingHeads * ENGINE.slots() * 1_000.0 / RUN_MS;
+  }
+
+  /** Takes all heads but the first {@code count} out of service; what they run goes on. */
+  void setServingHeads(int count) {
+    servingHeads = count;
+  }
+
+  /** All daemons lose their state; the engines drop what they have not begun. */
+  void restartDaemons() {
+    daemons.clear();
+    for (int i = 0; i < daemonCount; i++) {
+      daemons.add(new Daemon(i, nowMs));
+    }
+    for (Head head : heads) {
+      head.queue.clear();
+    }
+  }
+
+  /** Plays {@code seconds} with {@code arrivalsPerSecond} in the whole fleet. */
+  Outcome play(double seconds, double arrivalsPerSecond) {
+    outcome = new Outcome();
+    long untilMs = nowMs + (long) (seconds * 1_000);
+    for (; nowMs < untilMs; nowMs += STEP_MS) {
+      for (Daemon daemon : daemons) {
+        announce(daemon);
+        if (nowMs % 50 == 0) {
+          daemon.tick();
+        }
+        double mean = daemon.weight * arrivalsPerSecond * STEP_MS / 1_000 / daemonCount;
+        if (random.nextDouble() < mean) {
+          arrive(daemon);
+        }
+      }
+      for (Head head : heads) {
+        run(head);
+      }
+    }
+    return outcome;
+  }
+
+  private void arrive(Daemon daemon) {
+    outcome.arrived++;
+    daemon.meter.onRequest(MODEL, nowMs);
+    Demand demand = new Demand(1, 0, nowMs + OBJECTIVE_MS, nowMs + DEADLINE_MS, false, nowMs);
+    daemon.decide(demand, daemon.queue.ahead(demand), false);
+  }
+
+  private void announce(Daemon from) {
+    PeerState state = from.announcement();
+    if (state == null) {
+      return;
+    }
+    for (Daemon to : state.isPlanner() ? daemons : daemons.subList(0, 1)) {
+      to.peers.onReceived(state, TestData.address(1), nowMs);
+    }
+  }
+
+  private void run(Head head) {
+    for (int i = head.running.size() - 1; i >= 0; i--) {
+      if (head.endsMs.get(i) <= nowMs) {
+        Sent ended = head.running.remove(i);
+        head.endsMs.remove(i);
+        ended.endpoint().onEnded();
+        ended.from().drain();
+      }
+    }
+    while (head.running.size() < ENGINE.slots() && !head.queue.isEmpty()) {
+      Sent next = head.queue.poll();
+      head.running.add(next);
+      head.endsMs.add(nowMs + (long) (RUN_MS * (0.4 + 1.2 * random.nextDouble())));
+      count(next);
+    }
+  }
+
+  private void count(Sent begun) {
+    if (nowMs - begun.sentMs() > OBJECTIVE_MS / 4) {
+      outcome.queuedInEngine++;
+    }
+    if (nowMs > begun.demand().abandonAtMs()) {
+      outcome.inVain++;
+    } else if (begun.demand().isOnTimeAt(nowMs)) {
+      outcome.onTime++;
+    } else {
+      outcome.late++;
+    }
+  }
+}
--- a/limpet-entry/src/test/java/org/limpetring/entry/group/GroupManagerTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/group/GroupManagerTest.java
@@ -245,6 +245,7 @@
     final List<String> opened = new ArrayList<>();
     final List<String> assignedTwice = new ArrayList<>();
     Runnable onJoin = () -> {};
+    final Map<String, Double> slotsNeeded = new HashMap<>();
     boolean isSuspected;
     boolean isLoadUnfit;
     int clearedSuspicions;
@@ -350,6 +351,11 @@
       return List.of(new ServiceSpec("engines", "/", 100, 0, TestData.engine()));
     }
 
+    @Override
+    public double slotsNeeded(String model) {
+      return slotsNeeded.getOrDefault(model, 0.0);
+    }
+
     @Override
     public boolean isTrafficSeen() {
       return true;
--- a/limpet-entry/src/test/java/org/limpetring/entry/group/PlannerRoleTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/group/PlannerRoleTest.java
@@ -55,7 +55,8 @@
             List.of(),
             List.of(),
             List.of(),
-            new PeerState.FleetLoad(10, List.of()));
+            List.of(),
+            new PeerState.FleetLoad(10, List.of(), List.of()));
     peers.onReceived(state, TestData.address(2), clock.nowMs());
     role.onPeerState(state, clock.nowMs());
   }
@@ -66,7 +67,7 @@
       PeerState state =
           new PeerState(
               "d" + i, "a", 1, 1, false, false, false, List.of(), List.of(), List.of(), List.of(),
-              null);
+              List.of(), null);
       peers.onReceived(state, TestData.address(i), clock.nowMs());
       role.onPeerState(state, clock.nowMs());
     }
--- a/limpet-entry/src/test/java/org/limpetring/entry/peer/PeerStateTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/peer/PeerStateTest.java
@@ -34,6 +34,7 @@
         List.of(load(inFlight, isSuspected)),
         List.of("y/g/3"),
         List.of("x/g/2"),
+        List.of(new PeerState.Demand(4, 600)),
         fleet);
   }
 
@@ -46,7 +47,12 @@
     PeerState state = state("d1", 5, true);
     assertThat(PeerState.decode(state.encode())).isEqualTo(state);
     PeerState planner =
-        state("d2", 5, true, new PeerState.FleetLoad(80, List.of(load(300, false))));
+        state(
+            "d2",
+            5,
+            true,
+            new PeerState.FleetLoad(
+                80, List.of(new PeerState.Demand(4, 48_000)), List.of(load(300, false))));
     assertThat(PeerState.decode(planner.encode())).isEqualTo(planner);
   }
 
@@ -84,7 +90,9 @@
   void fleetLoadFromPlannerCoversAllDaemons() {
     PeerRegistry registry = new PeerRegistry("own");
     registry.onAnnounced(List.of(load(2, false)));
-    PeerState.FleetLoad fleet = new PeerState.FleetLoad(80, List.of(load(12, true)));
+    PeerState.FleetLoad fleet =
+        new PeerState.FleetLoad(
+            80, List.of(new PeerState.Demand(4, 48_000)), List.of(load(12, true)));
     registry.onReceived(state("planner", 1, false, fleet), TestData.address(1), 0);
     registry.aggregateLoads(100);
     assertThat(registry.inFlight("h/g/1")).isEqualTo(10);
@@ -95,8 +103,11 @@
     registry.setPlanner(true);
     registry.aggregateLoads(100);
     assertThat(registry.inFlight("h/g/1")).isEqualTo(1);
-    assertThat(registry.fleetLoad(List.of(load(4, false)), 100))
-        .isEqualTo(new PeerState.FleetLoad(2, List.of(load(5, false))));
+    assertThat(
+            registry.fleetLoad(List.of(load(4, false)), List.of(new PeerState.Demand(4, 900)), 100))
+        .isEqualTo(
+            new PeerState.FleetLoad(
+                2, List.of(new PeerState.Demand(4, 1_500)), List.of(load(5, false))));
   }
 
   @Test
