Hosts are divided between models by demand, and spares load the model that is short

Cause: the planner counted groups in failure domains out of service as serving and divided hosts by configured shares. Change: groups in domains out don't count; a model's share of the hosts follows the slots its requests need (fleet's rate by run time), within a third and three times the configured share; spares too few for a group of a model with room load the one whose groups are full.

--- a/limpet-entry/src/main/java/org/limpetring/entry/group/Formation.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/Formation.java
@@ -19,6 +19,11 @@
  * groups at once, starting with the model that has the least capacity for its share. Empty hosts
  * load the main model of their fabric domain, so that survivors of several groups there can form a
  * complete one.
+ *
+ * <p>Load pattern: a failure domain with most groups of one model goes out of service, and the
+ * groups that are left of that model are full while those of another are half idle. Therefore hosts
+ * are divided by what callers demand of each model, and spares of a model with room load the one
+ * that is short.
  */
 public final class Formation {
 
@@ -39,10 +44,23 @@
   /** Spares of a fabric domain's main model, as a fraction of the hosts that hold it. */
   private static final double SPARE_FRACTION = 0.08;
 
+  /** Bounds of a model's share by demand, as multiples of its configured share. */
+  private static final double MIN_DEMAND = 1.0 / 3;
+
+  private static final double MAX_DEMAND = 3;
+
+  /** Load of a model's groups above which spares of other models load it. */
+  private static final double SHORT_LOAD = 0.9;
+
+  /** Load of a model's groups below which it can do without its spares. */
+  private static final double ROOMY_LOAD = 0.7;
+
   /** Weight of a fabric domain's main model, since surviving hosts there can complete a group. */
   private static final double MAIN_MODEL_WEIGHT = 4;
 
   private final EngineSpec engine;
+  private final Map<String, Double> slotsNeeded;
+  private final Map<String, Double> shares;
   private final Map<String, Double> hostsByModel = new HashMap<>();
   private final Map<String, List<FreeHost>> freeByDomain = new TreeMap<>();
   private final Map<String, Map<String, Integer>> modelsByDomain;
@@ -55,8 +73,11 @@
       List<FreeHost> free,
       Map<String, Integer> groupsByModel,
       Map<String, Map<String, Integer>> modelsByDomain,
+      Map<String, Double> slotsNeeded,
       int loadsLeft) {
     this.engine = engine;
+    this.slotsNeeded = slotsNeeded;
+    this.shares = sharesByDemand(engine, slotsNeeded);
     this.modelsByDomain = modelsByDomain;
     this.loadsLeft = loadsLeft;
     for (ModelSpec model : engine.models()) {
@@ -72,9 +93,11 @@
    * Decides which groups form and which loads begin.
    *
    * @param free hosts that belong to no group
-   * @param groupsByModel number of serving or forming groups by model
+   * @param groupsByModel number of serving or forming groups by model, without those in failure
+   *     domains out of service
    * @param modelsByDomain number of hosts by fabric domain and by the model that they hold, in
    *     groups or free
+   * @param slotsNeeded slots that callers' requests occupy on average, by model; 0 if unknown
    * @param loadsLeft number of loads that may begin now
    */
   public static Decision decide(
@@ -82,14 +105,40 @@
       List<FreeHost> free,
       Map<String, Integer> groupsByModel,
       Map<String, Map<String, Integer>> modelsByDomain,
+      Map<String, Double> slotsNeeded,
       int loadsLeft) {
-    Formation formation = new Formation(engine, free, groupsByModel, modelsByDomain, loadsLeft);
+    Formation formation =
+        new Formation(engine, free, groupsByModel, modelsByDomain, slotsNeeded, loadsLeft);
     formation.formFromLoaded();
     formation.formFromEmpty();
     formation.stage();
+    formation.stageSpares();
     return new Decision(formation.groups, formation.stagings);
   }
 
+  /** Parts of the hosts that the models get: by demand once it is known for all of them. */
+  private static Map<String, Double> sharesByDemand(
+      EngineSpec engine, Map<String, Double> slotsNeeded) {
+    double hostsNeeded = 0;
+    boolean isKnown = true;
+    for (ModelSpec model : engine.models()) {
+      double slots = slotsNeeded.getOrDefault(model.name(), 0.0);
+      isKnown = isKnown && slots > 0;
+      hostsNeeded += slots * model.groupSize();
+    }
+    Map<String, Double> shares = new HashMap<>();
+    for (ModelSpec model : engine.models()) {
+      double share = model.share();
+      if (isKnown) {
+        double demanded =
+            slotsNeeded.getOrDefault(model.name(), 0.0) * model.groupSize() / hostsNeeded;
+        share = Math.min(MAX_DEMAND * share, Math.max(MIN_DEMAND * share, demanded));
+      }
+      shares.put(model.name(), Math.max(0.001, share));
+    }
+    return shares;
+  }
+
   /** Models in ascending order of capacity for their share of the load. */
   private List<ModelSpec> scarcestFirst() {
     List<ModelSpec> models = new ArrayList<>(engine.models());
@@ -102,7 +151,7 @@
     double completeProbability = Math.pow(1 - HOST_LOSS_RATIO, model.groupSize());
     return hostsByModel.getOrDefault(model.name(), 0.0)
         * completeProbability
-        / Math.max(0.001, model.share());
+        / shares.getOrDefault(model.name(), model.share());
   }
 
   private void formFromLoaded() {
@@ -234,6 +283,61 @@
     }
   }
 
+  /**
+   * Lets spares that are too few for a group of their own model load a model that is short, where
+   * they complete a group of it.
+   */
+  private void stageSpares() {
+    for (ModelSpec wanted : scarcestFirst()) {
+      for (List<FreeHost> hosts : freeByDomain.values()) {
+        if (load(wanted) <= SHORT_LOAD) {
+          break;
+        }
+        int missing = wanted.groupSize() - count(hosts, wanted) % wanted.groupSize();
+        List<FreeHost> spares = sparesToGive(hosts, wanted);
+        if (missing > Math.min(loadsLeft, spares.size())) {
+          continue;
+        }
+        for (FreeHost spare : spares.subList(0, missing)) {
+          stagings.add(new Staging(spare.id(), wanted.name()));
+          hosts.remove(spare);
+          hosts.add(new FreeHost(spare.id(), spare.fabricDomain(), null, wanted.name(), null));
+          loadsLeft--;
+        }
+      }
+    }
+  }
+
+  private List<FreeHost> sparesToGive(List<FreeHost> hosts, ModelSpec wanted) {
+    List<FreeHost> spares = new ArrayList<>();
+    for (FreeHost host : hosts) {
+      ModelSpec held = host.stagedModel() == null ? null : engine.model(host.stagedModel());
+      boolean isGiven =
+          held != null
+              && host.loadingModel() == null
+              && !held.equals(wanted)
+              && load(held) < ROOMY_LOAD;
+      if (isGiven) {
+        spares.add(host);
+      }
+    }
+    return spares;
+  }
+
+  /** Part of a model's slots that its requests need, with the groups whose members load now. */
+  private double load(ModelSpec model) {
+    double hosts = hostsByModel.getOrDefault(model.name(), 0.0);
+    for (List<FreeHost> domain : freeByDomain.values()) {
+      int loading = 0;
+      for (FreeHost host : domain) {
+        loading += model.name().equals(host.loadingModel()) ? 1 : 0;
+      }
+      hosts += loading - loading % model.groupSize();
+    }
+    double slots = Math.max(1, hosts / model.groupSize()) * engine.slots();
+    return slotsNeeded.getOrDefault(model.name(), 0.0) / slots;
+  }
+
   private static @Nullable FreeHost firstEmpty(List<FreeHost> hosts) {
     for (FreeHost host : hosts) {
       if (isEmpty(host)) {
@@ -248,19 +352,22 @@
    * loads a group still needs and the longer they take.
    */
   private double stagingGain(String domain, List<FreeHost> hosts, ModelSpec model) {
-    int free = 0;
-    for (FreeHost host : hosts) {
-      boolean isOfModel =
-          model.name().equals(host.loadingModel())
-              || (host.loadingModel() == null && model.name().equals(host.stagedModel()));
-      free += isOfModel ? 1 : 0;
-    }
-    int missing = model.groupSize() - free % model.groupSize();
+    int missing = model.groupSize() - count(hosts, model) % model.groupSize();
     boolean isMain = model.equals(mainModel(domain));
     return (isMain ? MAIN_MODEL_WEIGHT : 1)
         / ((capacityPerShare(model) + 1) * missing * Math.max(1, model.loadMs()));
   }
 
+  /** Number of hosts that hold the model or load it. */
+  private static int count(List<FreeHost> hosts, ModelSpec model) {
+    int count = 0;
+    for (FreeHost host : hosts) {
+      String held = host.loadingModel() != null ? host.loadingModel() : host.stagedModel();
+      count += model.name().equals(held) ? 1 : 0;
+    }
+    return count;
+  }
+
   /** Model that most hosts of a fabric domain hold, or null if they hold none. */
   private @Nullable ModelSpec mainModel(String domain) {
     Map<String, Integer> counts = modelsByDomain.getOrDefault(domain, Map.of());
--- a/limpet-entry/src/main/java/org/limpetring/entry/group/HostAllocator.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/HostAllocator.java
@@ -136,7 +136,9 @@
     int loading = 0;
     for (PlannedGroup group : groups) {
       group.members().forEach(id -> plannedModelByHost.put(id, group.model()));
-      if (group.service().equals(service) && group.phase() != Phase.ENDING) {
+      if (group.service().equals(service)
+          && group.phase() != Phase.ENDING
+          && !isInDomainOut(group)) {
         groupsByModel.merge(group.model(), 1, Integer::sum);
         if (group.phase() == Phase.FORMING) {
           loading += unstagedMembers(group);
@@ -178,8 +180,12 @@
         context.isTrafficSeen()
             ? (int) Math.max(0, Math.min(loadTokens, engine.loadsAtOnce() - loading))
             : Integer.MAX_VALUE;
+    Map<String, Double> slotsNeeded = new HashMap<>();
+    for (ModelSpec model : engine.models()) {
+      slotsNeeded.put(model.name(), context.slotsNeeded(model.name()));
+    }
     Formation.Decision decision =
-        Formation.decide(engine, free, groupsByModel, modelsByDomain, loadsLeft);
+        Formation.decide(engine, free, groupsByModel, modelsByDomain, slotsNeeded, loadsLeft);
     for (Formation.NewGroup group : decision.groups()) {
       loadTokens -= group.loads();
     }
@@ -190,6 +196,12 @@
     return decision.groups();
   }
 
+  /** Whether the group's head is in a failure domain out of service. */
+  private boolean isInDomainOut(PlannedGroup group) {
+    Upstream head = context.upstream(group.head());
+    return head != null && context.domainsOut().contains(head.failureDomain());
+  }
+
   private void warmSpares(
       List<FreeHost> free, Formation.Decision decision, long lastEpoch, long nowMs) {
     Set<String> selectedHosts = new HashSet<>();
--- a/limpet-entry/src/test/java/org/limpetring/entry/group/FormationTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/group/FormationTest.java
@@ -78,10 +78,56 @@
             List.of(new FreeHost("new", "d", null, null, null)),
             Map.of("large", 2, "small", 3),
             holders,
+            Map.of(),
             1);
     assertThat(decision.stagings()).containsExactly(new Formation.Staging("new", "large"));
   }
 
+  /**
+   * A failure domain out of service took most groups of the small model; three spares of the large
+   * one are too few for a group, and its groups are half idle.
+   */
+  @Test
+  void sparesOfModelWithRoomLoadTheModelThatIsShort() {
+    List<FreeHost> free =
+        List.of(
+            new FreeHost("a", "d", "large", null, "large"),
+            new FreeHost("b", "d", "large", null, "large"),
+            new FreeHost("c", "d", "large", null, "large"));
+    Map<String, Integer> groups = Map.of("large", 5, "small", 3);
+    Formation.Decision decision =
+        Formation.decide(
+            ENGINE, free, groups, new HashMap<>(), Map.of("large", 30.0, "small", 60.0), 6);
+    assertThat(decision.stagings().stream().map(Formation.Staging::model))
+        .containsExactly("small", "small", "small");
+    Formation.Decision withRoom =
+        Formation.decide(
+            ENGINE, free, groups, new HashMap<>(), Map.of("large", 30.0, "small", 30.0), 6);
+    assertThat(withRoom.stagings()).isEmpty();
+    Formation.Decision bothShort =
+        Formation.decide(
+            ENGINE, free, groups, new HashMap<>(), Map.of("large", 80.0, "small", 60.0), 6);
+    assertThat(bothShort.stagings()).isEmpty();
+  }
+
+  /** Equal numbers of groups by the configured shares, but callers ask for the small model only. */
+  @Test
+  void emptyHostsFormGroupsOfTheModelInDemand() {
+    List<FreeHost> free = new ArrayList<>();
+    for (int i = 0; i < 12; i++) {
+      free.add(new FreeHost("h" + i, "d", null, null, null));
+    }
+    Map<String, Integer> groups = Map.of("large", 3, "small", 3);
+    Formation.Decision byShare =
+        Formation.decide(ENGINE, free, groups, new HashMap<>(), Map.of(), 12);
+    Formation.Decision byDemand =
+        Formation.decide(
+            ENGINE, free, groups, new HashMap<>(), Map.of("large", 10.0, "small", 100.0), 12);
+    assertThat(byShare.groups().stream().map(Formation.NewGroup::model)).contains("large");
+    assertThat(byDemand.groups().stream().map(Formation.NewGroup::model))
+        .containsExactly("small", "small", "small", "small");
+  }
+
   @Test
   void noLoadBeginsBeyondTheRateLimit() {
     List<FreeHost> free = List.of(new FreeHost("x", "d", null, null, null));
@@ -119,6 +165,6 @@
   }
 
   private static Formation.Decision decide(List<FreeHost> free, int loadsLeft) {
-    return Formation.decide(ENGINE, free, Map.of(), new HashMap<>(), loadsLeft);
+    return Formation.decide(ENGINE, free, Map.of(), new HashMap<>(), Map.of(), loadsLeft);
   }
 }
