A retry is told by the most patient callers' time, not by the route's timeout

Cause: any deadline more than 40 ms under the route's timeout marked a caller's retry. Change: CallerPatience remembers the longest deadline of a route in the last 10 to 20 s; a request with less than three quarters of it is a retry. Ruled out: a mark on retries (callers send a new id and nothing else).

--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
@@ -13,6 +13,7 @@
 import org.limpetring.base.LogEvent;
 import org.limpetring.base.ResultCode;
 import org.limpetring.entry.balancing.Admission;
+import org.limpetring.entry.balancing.CallerPatience;
 import org.limpetring.entry.balancing.ColdRateLimiter;
 import org.limpetring.entry.balancing.Demand;
 import org.limpetring.entry.balancing.DemandMeter;
@@ -26,6 +27,7 @@
 import org.limpetring.entry.model.EntrySettings;
 import org.limpetring.entry.model.Limits;
 import org.limpetring.entry.model.ModelSpec;
+import org.limpetring.entry.model.Route;
 import org.limpetring.entry.model.ServiceSpec;
 import org.limpetring.entry.net.HttpConnectionPool;
 import org.limpetring.entry.net.SendFailure;
@@ -49,6 +51,9 @@
   /** Time after which the cold share of an upstream without requests is discarded. */
   private static final long COLD_SHARE_TTL_MS = 10_000;
 
+  /** Time after which the patience of a route's callers is discarded. */
+  private static final long CALLER_PATIENCE_TTL_MS = 60_000;
+
   private static final RouteTable NO_TABLE =
       new RouteTable(new EntryConfig(0, List.of(), Map.of(), Map.of(), true, Limits.UNKNOWN));
 
@@ -66,6 +71,7 @@
   private final EndpointIndex index;
   private final SplittableRandom random = new SplittableRandom();
   private final DemandMeter demandMeter = new DemandMeter();
+  private final CallerPatience callerPatience = new CallerPatience();
   private final Map<String, WaitQueue<RequestFlow>> queues = new HashMap<>();
   private final Set<RequestFlow> flows = new HashSet<>();
   private RouteTable table = NO_TABLE;
@@ -225,6 +231,11 @@
     return isTrafficSeen;
   }
 
+  /** Whether a request with that time left is a caller's retry of a refused one. */
+  boolean isCallerRetry(Route route, long deadlineMs) {
+    return callerPatience.isRetry(route.name(), deadlineMs, nowMs());
+  }
+
   /** Counts a caller's request towards the retry budget and this daemon's share of the slots. */
   void onCallerRequest(String service, @Nullable String model) {
     long nowMs = nowMs();
@@ -527,6 +538,7 @@
   void sweep() {
     connections.closeExpired();
     coldRateLimiter.forgetBefore(nowMs() - COLD_SHARE_TTL_MS);
+    callerPatience.forgetBefore(nowMs() - CALLER_PATIENCE_TTL_MS);
     index.forgetEnded();
   }
 
--- a/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
@@ -52,9 +52,6 @@
   /** Time after the deadline at which a response in progress is abandoned. */
   private static final long TIMEOUT_SLACK_MS = 60;
 
-  /** A deadline shorter than the route's timeout by more than this marks a caller's retry. */
-  private static final long CALLER_RETRY_MARGIN_MS = 40;
-
   private static final double MS_PER_S = 1_000;
 
   /** HTTP status: the address belongs to another upstream, or to a member that is not the head. */
@@ -107,18 +104,13 @@
     service = core.table().service(route, routingSample());
     long allowedMs = Math.min(request.deadlineMs(), route.timeoutMs());
     abandonAtMs = arrivedMs + allowedMs;
-    long alreadyUsedMs = Math.max(0, route.timeoutMs() - request.deadlineMs());
-    boolean isCallerRetry =
-        alreadyUsedMs > CALLER_RETRY_MARGIN_MS
-            && request.deadlineMs() < route.timeoutMs() - CALLER_RETRY_MARGIN_MS;
+    boolean isCallerRetry = core.isCallerRetry(route, request.deadlineMs());
+    long onTimeMs = isCallerRetry ? 0 : route.objectiveMs() - NETWORK_DELAY_MS;
     demand =
         new Demand(
             core.table().priority(route, team),
             request.promptTokens(),
-            arrivedMs
-                + Math.max(
-                    0,
-                    route.objectiveMs() - NETWORK_DELAY_MS - (isCallerRetry ? alreadyUsedMs : 0)),
+            arrivedMs + Math.max(0, onTimeMs),
             abandonAtMs,
             isCallerRetry,
             arrivedMs);
