One watcher of a daemon calls a failing store, and a stable plan is watched less often

While the store turns a third of the daemons away for 9 s, three watchers of each retry; the planner watches the entries again 40 ms after each change though it acts only while groups change. Change: the first failing watcher retries, the others list as soon as any call succeeds; the planner waits 150 ms while all its groups are open.

--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
@@ -61,6 +61,9 @@
   /** Batches changes that arrive together, such as a group's members becoming ready. */
   private static final long REWATCH_DELAY_MS = 40;
 
+  /** Rewatch delay of the planner while its groups are stable; their faults are found by probes. */
+  private static final long PLANNER_REWATCH_DELAY_MS = 150;
+
   /** A third of the shortest time within which a leaving upstream must get no new work. */
   private static final long UPSTREAM_REWATCH_DELAY_MS = 650;
 
@@ -83,6 +86,7 @@
   private final PeerLink link;
   private final DaemonDirectory directory;
   private final PlatformStore store;
+  private final StoreOutage storeOutage = new StoreOutage();
   private final EntryCore core;
   private final CallerHandler callerHandler;
   private final PlannerRole role;
@@ -132,15 +136,18 @@
         watcher(ObjectKind.DOMAINS_OUT, new DomainListener(), () -> REWATCH_DELAY_MS);
   }
 
-  /** Upstream entries change often; only the planner has to act on each change at once. */
+  /** Upstream entries change often; only a planner that forms groups has to act at once. */
   private long upstreamRewatchDelayMs() {
-    return role.isPlanner() ? REWATCH_DELAY_MS : UPSTREAM_REWATCH_DELAY_MS;
+    if (!role.isPlanner()) {
+      return UPSTREAM_REWATCH_DELAY_MS;
+    }
+    return groupManager.isAnyGroupChanging() ? REWATCH_DELAY_MS : PLANNER_REWATCH_DELAY_MS;
   }
 
   private <T> KindWatcher<T> watcher(
       ObjectKind<T> kind, KindWatcher.Listener<T> listener, LongSupplier rewatchDelayMs) {
     return new KindWatcher<>(
-        kind, store, loop, clock, log, listener, rewatchDelayMs, this::watchFreshness);
+        kind, store, loop, clock, log, listener, rewatchDelayMs, this::watchFreshness, storeOutage);
   }
 
   /**
--- a/limpet-entry/src/main/java/org/limpetring/entry/KindWatcher.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/KindWatcher.java
@@ -60,6 +60,7 @@
   private final Listener<T> listener;
   private final LongSupplier rewatchDelayMs;
   private final Supplier<PlatformStore.Consistency> consistency;
+  private final StoreOutage outage;
 
   /** Revision from which the next watch starts. */
   private long revision;
@@ -90,7 +91,8 @@
       DecisionLog log,
       Listener<T> listener,
       LongSupplier rewatchDelayMs,
-      Supplier<PlatformStore.Consistency> consistency) {
+      Supplier<PlatformStore.Consistency> consistency,
+      StoreOutage outage) {
     this.kind = kind;
     this.store = store;
     this.loop = loop;
@@ -99,6 +101,7 @@
     this.listener = listener;
     this.rewatchDelayMs = rewatchDelayMs;
     this.consistency = consistency;
+    this.outage = outage;
   }
 
   void start() {
@@ -260,6 +263,7 @@
     }
     lastSuccessMs = nowMs;
     backoffMs = MIN_BACKOFF_MS;
+    outage.onSuccess();
   }
 
   /** Whether the last call failed. */
@@ -286,6 +290,10 @@
 
   private void retry(StoreReply<?> reply, Runnable call) {
     onCallFailed(reply);
+    if (!outage.isProber(this)) {
+      outage.awaitEnd(call);
+      return;
+    }
     long delayMs = backoffMs / 2 + ThreadLocalRandom.current().nextLong(backoffMs / 2 + 1);
     backoffMs = Math.min(MAX_BACKOFF_MS, backoffMs * 2);
     schedule(call, delayMs);
--- a/limpet-entry/src/main/java/org/limpetring/entry/group/GroupManager.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/GroupManager.java
@@ -131,6 +131,16 @@
     return groups;
   }
 
+  /** Whether a group is being formed or dissolved. */
+  public boolean isAnyGroupChanging() {
+    for (ManagedGroup managed : managedGroups.values()) {
+      if (managed.group.phase() != Phase.OPENED) {
+        return true;
+      }
+    }
+    return false;
+  }
+
   /** Recently opened groups, to be announced to the other daemons. */
   public List<PlannedGroup> recentlyOpenedGroups() {
     long nowMs = clock.nowMs();
--- a/limpet-entry/src/test/java/org/limpetring/entry/KindWatcherTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/KindWatcherTest.java
@@ -23,26 +23,31 @@
   private final ManualClock clock = new ManualClock(10_000);
   private final EmbeddedChannel channel = new EmbeddedChannel();
   private final List<String> received = new ArrayList<>();
-  private final KindWatcher<String> watcher =
-      new KindWatcher<>(
-          ObjectKind.DOMAINS_OUT,
-          store,
-          channel.eventLoop(),
-          clock,
-          new DecisionLog(new ByteArrayOutputStream(), clock),
-          new KindWatcher.Listener<>() {
-            @Override
-            public void onAll(StoredObjects<String> all) {
-              received.add("all " + all.objects().size() + " at " + all.revision());
-            }
-
-            @Override
-            public void onChanges(StoredObjects<String> changes) {
-              received.add("changes " + changes.objects().size());
-            }
-          },
-          () -> REWATCH_DELAY_MS,
-          () -> PlatformStore.Consistency.LINEARIZABLE);
+  private final StoreOutage outage = new StoreOutage();
+  private final KindWatcher<String> watcher = newWatcher();
+
+  private KindWatcher<String> newWatcher() {
+    return new KindWatcher<>(
+        ObjectKind.DOMAINS_OUT,
+        store,
+        channel.eventLoop(),
+        clock,
+        new DecisionLog(new ByteArrayOutputStream(), clock),
+        new KindWatcher.Listener<>() {
+          @Override
+          public void onAll(StoredObjects<String> all) {
+            received.add("all " + all.objects().size() + " at " + all.revision());
+          }
+
+          @Override
+          public void onChanges(StoredObjects<String> changes) {
+            received.add("changes " + changes.objects().size());
+          }
+        },
+        () -> REWATCH_DELAY_MS,
+        () -> PlatformStore.Consistency.LINEARIZABLE,
+        outage);
+  }
 
   private static StoreReply<StoredObjects<String>> objects(long revision, String... names) {
     List<StoredObject<String>> objects = new ArrayList<>();
@@ -111,6 +116,34 @@
     assertThat(store.takeOldest().operation()).isEqualTo("list");
   }
 
+  /** A store that is down for 9 s gets the calls of one watcher of each daemon, not of three. */
+  @Test
+  void onlyOneWatcherCallsAFailingStore() {
+    List<KindWatcher<String>> watchers = List.of(watcher, newWatcher(), newWatcher());
+    watchers.forEach(KindWatcher::start);
+    int calls = 0;
+    for (int elapsedMs = 0; elapsedMs < 9_000; elapsedMs += 50) {
+      while (!store.pendingCalls.isEmpty()) {
+        store.takeOldest().reply(new StoreReply.Refused<>("status 503"));
+        calls++;
+      }
+      advanceTime(50);
+    }
+    // three first calls, then at least a quarter of a second between two of them
+    assertThat(calls).isAtMost(3 + 9 * 4);
+    advanceTime(1_000);
+    List<ScriptedStore.Call> afterRecovery = new ArrayList<>();
+    while (!store.pendingCalls.isEmpty()) {
+      ScriptedStore.Call call = store.takeOldest();
+      if (call.operation().equals("list")) {
+        call.reply(objects(5));
+      }
+      afterRecovery.add(call);
+    }
+    assertThat(watchers.stream().allMatch(KindWatcher::isListed)).isTrue();
+    assertThat(afterRecovery).hasSize(6);
+  }
+
   @Test
   void listsAgainWhenLaggingBehindAPeer() {
     watcher.start();
