A false suspicion costs one round of probes, and a minority raises none

Change: a head is suspected if at least half of the daemons with requests there suspect it; after a round that all members answered the next one waits 500 ms. The set of suspected heads is no longer built anew for each group.

--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
@@ -557,17 +557,12 @@
     return loads;
   }
 
-  /** Keys of group endpoints that this daemon or a peer suspects to be stalled. */
-  Set<String> suspectedEndpoints() {
-    Set<String> keys = new HashSet<>();
-    long nowMs = nowMs();
-    for (Endpoint endpoint : index.all()) {
-      if (endpoint.model() != null
-          && (endpoint.isSuspected(nowMs) || peers.isSuspected(endpoint.key()))) {
-        keys.add(endpoint.key());
-      }
-    }
-    return keys;
+  /** Whether this daemon or at least half of the others with requests there suspect a head. */
+  boolean isSuspected(String endpointKey) {
+    Endpoint endpoint = index.get(endpointKey);
+    return endpoint != null
+        && endpoint.model() != null
+        && (endpoint.isSuspected(nowMs()) || peers.isSuspected(endpointKey));
   }
 
   /** Clears a suspicion that proved wrong. */
--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
@@ -485,7 +485,7 @@
 
     @Override
     public boolean isSuspected(PlannedGroup group) {
-      return core.suspectedEndpoints().contains(key(group));
+      return core.isSuspected(key(group));
     }
 
     @Override
--- a/limpet-entry/src/main/java/org/limpetring/entry/group/GroupManager.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/GroupManager.java
@@ -71,6 +71,11 @@
   /** Interval between two rounds of probes to the members of a suspected group. */
   private static final long PROBE_INTERVAL_MS = 40;
 
+  /**
+   * Pause after a round that all members answered; other daemons may go on suspecting the group.
+   */
+  private static final long CLEARED_PROBE_INTERVAL_MS = 500;
+
   /** Interval between two probes of members that are no longer listed. */
   private static final long DEPARTED_PROBE_INTERVAL_MS = 250;
 
@@ -439,10 +444,10 @@
   }
 
   private void probe(ManagedGroup managed, long nowMs) {
-    if (managed.probesInFlight > 0 || nowMs - managed.probedMs < PROBE_INTERVAL_MS) {
+    if (managed.probesInFlight > 0 || nowMs < managed.nextProbeMs) {
       return;
     }
-    managed.probedMs = nowMs;
+    managed.nextProbeMs = nowMs + PROBE_INTERVAL_MS;
     for (String id : managed.group.members()) {
       Upstream member = context.upstream(id);
       if (member == null) {
@@ -472,6 +477,7 @@
     if (managed.probesInFlight == 0
         && managed.unansweredProbes.isEmpty()
         && isCurrent(managed, Phase.OPENED)) {
+      managed.nextProbeMs = nowMs + CLEARED_PROBE_INTERVAL_MS;
       context.clearSuspicion(managed.group);
     }
   }
--- a/limpet-entry/src/main/java/org/limpetring/entry/group/ManagedGroup.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/group/ManagedGroup.java
@@ -25,7 +25,7 @@
   long openedMs = Long.MIN_VALUE / 2;
   long leaveSentMs = Long.MIN_VALUE / 2;
   long endingSinceMs;
-  long probedMs = Long.MIN_VALUE / 2;
+  long nextProbeMs = Long.MIN_VALUE / 2;
   long departedProbedMs = Long.MIN_VALUE / 2;
   int probesInFlight;
   boolean isHeadDepartureProbed;
--- a/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerRegistry.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerRegistry.java
@@ -37,14 +37,26 @@
     }
   }
 
-  /** Load of one endpoint from other daemons. */
+  /**
+   * Load of one endpoint from other daemons.
+   *
+   * <p>A stalled head is silent for all daemons that have requests there; a single one may only be
+   * waiting for its first event behind long prompts of others. So an endpoint counts as suspected
+   * if at least half of the daemons with requests there suspect it.
+   */
   private static final class RemoteLoad {
     int inFlight;
-    boolean isSuspected;
+    int daemons;
+    int suspecting;
 
     void add(PeerState.Load load) {
       inFlight += load.inFlight();
-      isSuspected |= load.isSuspected();
+      daemons++;
+      suspecting += load.isSuspected() ? 1 : 0;
+    }
+
+    boolean isSuspected() {
+      return suspecting > 0 && 2 * suspecting >= daemons;
     }
   }
 
@@ -224,7 +236,8 @@
         (hash, load) -> {
           RemoteLoad sum = new RemoteLoad();
           sum.inFlight = load.inFlight;
-          sum.isSuspected = load.isSuspected;
+          sum.daemons = load.daemons;
+          sum.suspecting = load.suspecting;
           sums.put(hash, sum);
         });
     for (PeerState.Load load : own) {
@@ -232,7 +245,7 @@
     }
     List<PeerState.Load> loads = new ArrayList<>(sums.size());
     sums.forEach(
-        (hash, load) -> loads.add(new PeerState.Load(hash, load.inFlight, load.isSuspected)));
+        (hash, load) -> loads.add(new PeerState.Load(hash, load.inFlight, load.isSuspected())));
     List<PeerState> alive = alive(nowMs);
     Map<Integer, Integer> demands = new HashMap<>();
     alive.forEach(state -> addAll(state.demands(), demands));
@@ -319,9 +332,12 @@
     return load == null ? 0 : Math.max(0, load.inFlight);
   }
 
-  /** Whether another daemon reported an endpoint as stalled, as last aggregated. */
+  /**
+   * Whether at least half of the other daemons with requests at an endpoint suspect it, as last
+   * aggregated.
+   */
   public boolean isSuspected(String endpointKey) {
     RemoteLoad load = remoteLoads.get(PeerState.endpointHash(endpointKey));
-    return load != null && load.isSuspected;
+    return load != null && load.isSuspected();
   }
 }
--- a/limpet-entry/src/test/java/org/limpetring/entry/group/GroupManagerTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/group/GroupManagerTest.java
@@ -108,6 +108,17 @@
     assertThat(hosts.assignedTwice).isEmpty();
   }
 
+  /** Daemons go on announcing a false suspicion for a while; each round probes all members. */
+  @Test
+  void falseSuspicionIsNotProbedAgainAndAgain() {
+    run(2_000);
+    hosts.reports = 0;
+    hosts.isSuspected = true;
+    run(1_500);
+    assertThat(hosts.reports).isAtMost(4 * 3);
+    assertThat(hosts.clearedSuspicions).isGreaterThan(0);
+  }
+
   /**
    * An unreachable head may still serve, so its members must be ordered to leave individually
    * first.
@@ -246,6 +257,7 @@
     final List<String> assignedTwice = new ArrayList<>();
     Runnable onJoin = () -> {};
     final Map<String, Double> slotsNeeded = new HashMap<>();
+    int reports;
     boolean isSuspected;
     boolean isLoadUnfit;
     int clearedSuspicions;
@@ -329,6 +341,7 @@
 
     @Override
     public void report(Upstream engine, long timeoutMs, Consumer<ReportReply> done) {
+      reports++;
       done.accept(
           unresponsive.contains(engine.id())
               ? new ReportReply.TimedOut()
--- a/limpet-entry/src/test/java/org/limpetring/entry/peer/PeerStateTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/peer/PeerStateTest.java
@@ -85,6 +85,20 @@
     assertThat(registry.knownCount()).isEqualTo(3);
   }
 
+  /** One daemon waits for its first event behind long prompts while others receive theirs. */
+  @Test
+  void suspicionOfAMinorityIsNotCounted() {
+    PeerRegistry registry = new PeerRegistry("own");
+    for (int i = 0; i < 5; i++) {
+      registry.onReceived(state("d" + i, 2, i < 2), TestData.address(i + 1), 0);
+    }
+    registry.aggregateLoads(100);
+    assertThat(registry.isSuspected("h/g/1")).isFalse();
+    registry.onReceived(state("d4", 2, true), TestData.address(5), 100);
+    registry.aggregateLoads(150);
+    assertThat(registry.isSuspected("h/g/1")).isTrue();
+  }
+
   /** One of 80 daemons receives only from the planner and still knows the load of the other 79. */
   @Test
   void fleetLoadFromPlannerCoversAllDaemons() {
