A retry is refused at once while new requests are refused

Cause: a retried request waited for up to half of its time while new ones, which go first, were being refused for want of a slot: held for seconds, then refused all the same. Change: for 500 ms after a new request was refused for want of a slot, retries that find no free slot are refused at once.

--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
@@ -267,7 +267,7 @@
     Demand demand = flow.demand();
     List<Endpoint> candidates = candidates(flow, pool, nowMs);
     int endpoints = candidates.size();
-    Verdict verdict = verdict(demand, candidates, ahead, nowMs);
+    Verdict verdict = verdict(demand, candidates, queue, ahead, nowMs);
     while (verdict instanceof Verdict.Send send) {
       if (tryAcquireColdRate(send.endpoint(), nowMs)) {
         if (isQueued) {
@@ -280,12 +280,13 @@
       verdict =
           candidates.isEmpty()
               ? coldVerdict(demand, nowMs)
-              : verdict(demand, candidates, ahead, nowMs);
+              : verdict(demand, candidates, queue, ahead, nowMs);
     }
     if (verdict instanceof Verdict.Refuse reject && !flow.isStreamStarted()) {
       if (isQueued) {
         queue.remove(flow);
       }
+      queue.onRefused(demand, nowMs);
       flow.reject(
           endpoints == 0 ? ResultCode.NO_GROUP_SERVING : ResultCode.LIMIT_REACHED,
           reject.retryAfterMs(),
@@ -310,12 +311,18 @@
     return true;
   }
 
-  private Verdict verdict(Demand demand, List<Endpoint> candidates, int ahead, long nowMs) {
+  private Verdict verdict(
+      Demand demand,
+      List<Endpoint> candidates,
+      WaitQueue<RequestFlow> queue,
+      int ahead,
+      long nowMs) {
     return Admission.decide(
         demand,
         new Admission.AdmissionContext(
             candidates,
             ahead,
+            queue.isRefusingNew(nowMs),
             aliveDaemons(nowMs),
             candidates.isEmpty() ? 1 : demandShare(candidates.get(0).model(), nowMs),
             this::crossDomainCostMs,
--- a/limpet-entry/src/main/java/org/limpetring/entry/balancing/Admission.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/balancing/Admission.java
@@ -14,7 +14,8 @@
  * it is queued only while its first event can still be on time; a late request would occupy a slot
  * while others could still be served on time, so it is refused with the expected time until a slot
  * frees up as its retry delay. A request that the caller retries after a refusal is late already
- * and may wait longer.
+ * and may wait longer, but not while new requests are refused: they would go first until its time
+ * is over.
  *
  * <p>Where several daemons send to the same endpoints, each has a slightly outdated view of the
  * others' requests, and all of them would choose the endpoint that looked best in that view. So
@@ -48,6 +49,7 @@
    *
    * @param endpoints endpoints that may run the request
    * @param ahead queued requests that go first
+   * @param isRefusingNew whether new requests were lately refused for want of a slot
    * @param daemons daemons that send to the same endpoints
    * @param share this daemon's part of the fleet's demand, from 0 to 1
    * @param extraMs added to the time of an endpoint's first event, such as the network delay
@@ -56,6 +58,7 @@
   public record AdmissionContext(
       List<Endpoint> endpoints,
       int ahead,
+      boolean isRefusingNew,
       int daemons,
       double share,
       ToDoubleFunction<Endpoint> extraMs,
@@ -79,10 +82,11 @@
       long untilMs =
           demand.arrivedMs()
               + (long) ((demand.abandonAtMs() - demand.arrivedMs()) * RETRY_WAIT_FRACTION);
-      boolean isTooLate = nowMs + waitMs > untilMs;
-      return isTooLate || !demand.isCallerRetry()
-          ? new Verdict.Refuse(retryAfterMs, "no slot before deadline")
-          : new Verdict.Wait(untilMs);
+      boolean mayWait =
+          demand.isCallerRetry() && !context.isRefusingNew() && nowMs + waitMs <= untilMs;
+      return mayWait
+          ? new Verdict.Wait(untilMs)
+          : new Verdict.Refuse(retryAfterMs, "no slot before deadline");
     }
     double firstEventMs = Double.MAX_VALUE;
     for (Endpoint endpoint : endpoints) {
--- a/limpet-entry/src/main/java/org/limpetring/entry/balancing/WaitQueue.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/balancing/WaitQueue.java
@@ -20,7 +20,11 @@
           .thenComparing(Demand::isCallerRetry)
           .thenComparingLong(Demand::onTimeDeadlineMs);
 
+  /** Time after the refusal of a new request in which the pool counts as overloaded. */
+  private static final long REFUSING_MS = 500;
+
   private final List<Waiting<T>> waiting = new ArrayList<>();
+  private long newRefusedMs = Long.MIN_VALUE / 2;
 
   /** Adds a request. */
   public void add(Demand demand, T request) {
@@ -36,6 +40,18 @@
     return waiting.removeIf(each -> each.request() == request);
   }
 
+  /** Called when a request was refused for want of a slot. */
+  public void onRefused(Demand demand, long nowMs) {
+    if (!demand.isCallerRetry()) {
+      newRefusedMs = nowMs;
+    }
+  }
+
+  /** Whether new requests were lately refused for want of a slot. */
+  public boolean isRefusingNew(long nowMs) {
+    return nowMs - newRefusedMs < REFUSING_MS;
+  }
+
   /** Returns a copy of the queue in order. */
   public List<Waiting<T>> inOrder() {
     return List.copyOf(waiting);
--- a/limpet-entry/src/test/java/org/limpetring/entry/balancing/AdmissionTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/balancing/AdmissionTest.java
@@ -38,10 +38,20 @@
       int ahead,
       ToDoubleFunction<Endpoint> extraMs,
       long nowMs) {
+    return decide(demand, endpoints, ahead, false, extraMs, nowMs);
+  }
+
+  private static Verdict decide(
+      Demand demand,
+      List<Endpoint> endpoints,
+      int ahead,
+      boolean isRefusingNew,
+      ToDoubleFunction<Endpoint> extraMs,
+      long nowMs) {
     return Admission.decide(
         demand,
         new Admission.AdmissionContext(
-            endpoints, ahead, 3, 1 / 3.0, extraMs, new SplittableRandom(7)),
+            endpoints, ahead, isRefusingNew, 3, 1 / 3.0, extraMs, new SplittableRandom(7)),
         nowMs);
   }
 
@@ -94,6 +104,23 @@
     assertThat(((Verdict.Wait) verdict).untilMs()).isGreaterThan(demand(false).onTimeDeadlineMs());
   }
 
+  /** New requests go first, so a retry would only wait until its time is over. */
+  @Test
+  void refusesRetryAtOnceWhileNewRequestsAreRefused() {
+    List<Endpoint> full = List.of(endpoint("a", 18), endpoint("b", 18));
+    assertThat(decide(demand(true), full, 0, true, each -> 0, 0))
+        .isInstanceOf(Verdict.Refuse.class);
+    Endpoint free = endpoint("c", 2);
+    assertThat(decide(demand(true), List.of(free), 0, true, each -> 0, 0))
+        .isEqualTo(new Verdict.Send(free));
+    WaitQueue<String> queue = new WaitQueue<>();
+    queue.onRefused(demand(true), 1_000);
+    assertThat(queue.isRefusingNew(1_000)).isFalse();
+    queue.onRefused(demand(false), 1_000);
+    assertThat(queue.isRefusingNew(1_400)).isTrue();
+    assertThat(queue.isRefusingNew(2_000)).isFalse();
+  }
+
   @Test
   void sendsNothingToSuspectedOrEjectedEndpoint() {
     Endpoint suspected = endpoint("s", 0);
@@ -124,7 +151,7 @@
       Verdict verdict =
           Admission.decide(
               demand(false),
-              new Admission.AdmissionContext(groups, 0, 80, 1 / 80.0, each -> 0, random),
+              new Admission.AdmissionContext(groups, 0, false, 80, 1 / 80.0, each -> 0, random),
               0);
       sent.merge(((Verdict.Send) verdict).endpoint(), 1, Integer::sum);
     }
--- a/limpet-entry/src/test/java/org/limpetring/entry/balancing/OverloadSimulation.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/balancing/OverloadSimulation.java
@@ -130,7 +130,13 @@
           Admission.decide(
               demand,
               new Admission.AdmissionContext(
-                  pool(), ahead, daemonCount, share(), endpoint -> 0, random),
+                  pool(),
+                  ahead,
+                  queue.isRefusingNew(nowMs),
+                  daemonCount,
+                  share(),
+                  endpoint -> 0,
+                  random),
               nowMs);
       boolean isWaiting = verdict instanceof Verdict.Wait;
       if (isQueued && !isWaiting) {
@@ -145,6 +151,7 @@
         heads.get(head).queue.add(new Sent(demand, this, send.endpoint(), nowMs));
       } else if (verdict instanceof Verdict.Refuse) {
         outcome.refused++;
+        queue.onRefused(demand, nowMs);
       }
       return isWaiting;
     }
