All buffered responses of a daemon share one budget

Cause: up to 8 MiB is buffered for each response in a heap of 112 MB; some fourteen upstreams that send bodies without end would end the daemon. Change: buffered response bodies may fill a quarter of the heap together; a response beyond it is given up (502, never reported as not run; retried where the route allows). Measured: BufferBudgetTest (a hundred endless bodies stay under the limit), WholePathTest.responseWithoutEndFailsItsRequestOnly (endless unframed body on a plain route and in place of a stream: 502, 502, another group's stream; the next request is served). Request bodies and partial events are not counted yet.

--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
@@ -29,6 +29,7 @@
 import org.limpetring.entry.model.ModelSpec;
 import org.limpetring.entry.model.Route;
 import org.limpetring.entry.model.ServiceSpec;
+import org.limpetring.entry.net.BufferBudget;
 import org.limpetring.entry.net.HttpConnectionPool;
 import org.limpetring.entry.net.SendFailure;
 import org.limpetring.entry.peer.PeerRegistry;
@@ -54,6 +55,9 @@
   /** Time after which the patience of a route's callers is discarded. */
   private static final long CALLER_PATIENCE_TTL_MS = 60_000;
 
+  /** Part of the heap that response bodies may fill. */
+  private static final int RESPONSE_BUFFERS_HEAP_DIVISOR = 4;
+
   private static final RouteTable NO_TABLE =
       new RouteTable(new EntryConfig(0, List.of(), Map.of(), Map.of(), true, Limits.UNKNOWN));
 
@@ -70,6 +74,8 @@
   private final ColdRateLimiter coldRateLimiter;
   private final EndpointIndex index;
   private final SplittableRandom random = new SplittableRandom();
+  private final BufferBudget responseBuffers =
+      new BufferBudget(Runtime.getRuntime().maxMemory() / RESPONSE_BUFFERS_HEAP_DIVISOR);
   private final DemandMeter demandMeter = new DemandMeter();
   private final CallerPatience callerPatience = new CallerPatience();
   private final Map<String, WaitQueue<RequestFlow>> queues = new HashMap<>();
@@ -131,6 +137,10 @@
     return format;
   }
 
+  BufferBudget responseBuffers() {
+    return responseBuffers;
+  }
+
   RetryBudget retryBudget() {
     return retryBudget;
   }
--- a/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
@@ -268,6 +268,13 @@
       onFailure(SendFailure.GARBLED);
       return;
     }
+    if (!core.responseBuffers().tryReserve(data.readableBytes())) {
+      cancelExchange();
+      releaseEndpoint();
+      runCount++;
+      retryOrFail("response buffers full", ResultCode.UPSTREAM_LOST);
+      return;
+    }
     bufferedBody.writeBytes(data);
   }
 
@@ -390,6 +397,7 @@
   /** Forwards the upstream's response unchanged. */
   private void forwardResponse(ResponseHead head) {
     ByteBuf content = bufferedBody == null ? Unpooled.EMPTY_BUFFER : bufferedBody;
+    core.responseBuffers().release(content.readableBytes());
     bufferedBody = null;
     if (isStreamStarted) {
       content.release();
@@ -575,6 +583,7 @@
 
   private void dropBufferedBody() {
     if (bufferedBody != null) {
+      core.responseBuffers().release(bufferedBody.readableBytes());
       bufferedBody.release();
       bufferedBody = null;
     }
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/StandinUpstream.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/StandinUpstream.java
@@ -33,6 +33,7 @@
     NO_SEAL,
     OTHER_REQUESTS_RESPONSE_FIRST,
     RESPONSE_WITHOUT_ID_FIRST,
+    ENDLESS_BODY,
     SHORT_BODY
   }
 
@@ -192,6 +193,13 @@
       }
       case OTHER_REQUESTS_RESPONSE_FIRST ->
           send(out, 200, "X-Limpetring-Request-Id: another\r\n" + seal, "not yours");
+      case ENDLESS_BODY -> {
+        write(out, "HTTP/1.1 200 OK\r\n" + echo + seal + "\r\n");
+        String block = "more and more ".repeat(1_000);
+        while (true) {
+          write(out, block);
+        }
+      }
       case RESPONSE_WITHOUT_ID_FIRST -> send(out, 200, seal, "not yours");
       default -> {}
     }
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
@@ -137,6 +137,18 @@
     }
   }
 
+  /** Unframed bodies and event streams that go on until the daemon closes. */
+  @Test
+  void responseWithoutEndFailsItsRequestOnly() throws Exception {
+    plainFault.set(Fault.ENDLESS_BODY);
+    assertThat(send("/o/x", "k").statusCode()).isEqualTo(502);
+    plainFault.set(Fault.ENDLESS_BODY);
+    assertThat(send("/r/x", "k").statusCode()).isEqualTo(502);
+    assertThat(send("/r/x", "k").body()).isEqualTo("answer of p-1");
+    engineFault.set(Fault.ENDLESS_BODY);
+    assertThat(send("/s/x", "k").body()).isEqualTo(StandinUpstream.COMPLETE_STREAM);
+  }
+
   @Test
   void responseToAnotherRequestIsSkipped() throws Exception {
     plainFault.set(Fault.OTHER_REQUESTS_RESPONSE_FIRST);
