Demand and response buffering leave EntryCore and RequestFlow

Change: FleetDemand holds the rates, run times and shares; ResponseBuffer a buffered body within the budget. No behaviour changes.

--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
@@ -16,17 +16,14 @@
 import org.limpetring.entry.balancing.CallerPatience;
 import org.limpetring.entry.balancing.ColdRateLimiter;
 import org.limpetring.entry.balancing.Demand;
-import org.limpetring.entry.balancing.DemandMeter;
 import org.limpetring.entry.balancing.Endpoint;
 import org.limpetring.entry.balancing.RetryBudget;
 import org.limpetring.entry.balancing.ShutdownRule;
-import org.limpetring.entry.balancing.SlotShares;
 import org.limpetring.entry.balancing.Verdict;
 import org.limpetring.entry.balancing.WaitQueue;
 import org.limpetring.entry.model.EntryConfig;
 import org.limpetring.entry.model.EntrySettings;
 import org.limpetring.entry.model.Limits;
-import org.limpetring.entry.model.ModelSpec;
 import org.limpetring.entry.model.Route;
 import org.limpetring.entry.model.ServiceSpec;
 import org.limpetring.entry.net.BufferBudget;
@@ -76,7 +73,7 @@
   private final SplittableRandom random = new SplittableRandom();
   private final BufferBudget responseBuffers =
       new BufferBudget(Runtime.getRuntime().maxMemory() / RESPONSE_BUFFERS_HEAP_DIVISOR);
-  private final DemandMeter demandMeter = new DemandMeter();
+  private final FleetDemand fleetDemand;
   private final CallerPatience callerPatience = new CallerPatience();
   private final Map<String, WaitQueue<RequestFlow>> queues = new HashMap<>();
   private final Set<RequestFlow> flows = new HashSet<>();
@@ -85,7 +82,6 @@
   private long stopStartedMs;
   private boolean isTrafficSeen;
   private boolean isDrainScheduled;
-  private long sharedLoadVersion = -1;
 
   EntryCore(
       EntrySettings settings,
@@ -107,6 +103,7 @@
     this.view = view;
     this.peers = peers;
     this.index = new EndpointIndex(view);
+    this.fleetDemand = new FleetDemand(peers, clock, random);
     this.coldRateLimiter = new ColdRateLimiter(settings.daemonName());
     EntrySettings.Bounds bounds = settings.bounds();
     this.retryBudget =
@@ -137,6 +134,10 @@
     return format;
   }
 
+  FleetDemand fleetDemand() {
+    return fleetDemand;
+  }
+
   BufferBudget responseBuffers() {
     return responseBuffers;
   }
@@ -218,14 +219,7 @@
   }
 
   private void refreshIndex() {
-    List<Endpoint> added = index.refresh(table.config());
-    if (added.isEmpty()) {
-      return;
-    }
-    long nowMs = nowMs();
-    for (Endpoint endpoint : added) {
-      SlotShares.applyToNew(endpoint, demandShare(endpoint.model(), nowMs), random);
-    }
+    fleetDemand.shareNewSlots(index.refresh(table.config()));
   }
 
   // admission
@@ -248,10 +242,9 @@
 
   /** Counts a caller's request towards the retry budget and this daemon's share of the slots. */
   void onCallerRequest(String service, @Nullable String model) {
-    long nowMs = nowMs();
-    retryBudget.onRequest(service, nowMs);
+    retryBudget.onRequest(service, nowMs());
     if (model != null) {
-      demandMeter.onRequest(model, nowMs);
+      fleetDemand.onRequest(model);
     }
   }
 
@@ -334,7 +327,7 @@
             ahead,
             queue.isRefusingNew(nowMs),
             aliveDaemons(nowMs),
-            candidates.isEmpty() ? 1 : demandShare(candidates.get(0).model(), nowMs),
+            candidates.isEmpty() ? 1 : fleetDemand.share(candidates.get(0).model()),
             this::crossDomainCostMs,
             random),
         nowMs);
@@ -489,7 +482,7 @@
     for (Endpoint endpoint : index.all()) {
       endpoint.setPeerInFlight(peers.inFlight(endpoint.key()));
     }
-    shareSlots(nowMs);
+    fleetDemand.shareSlots(index.pools());
     for (Endpoint endpoint : index.all()) {
       if (endpoint.model() != null && endpoint.silentMs(nowMs) > endpoint.silenceLimitMs(nowMs)) {
         suspect(endpoint, "silent for " + endpoint.silentMs(nowMs) + " ms");
@@ -504,53 +497,6 @@
     }
   }
 
-  /** Takes this daemon's share of the slots that a new announcement leaves free. */
-  private void shareSlots(long nowMs) {
-    long version = peers.loadVersion(nowMs);
-    if (version == sharedLoadVersion) {
-      return;
-    }
-    sharedLoadVersion = version;
-    for (List<Endpoint> pool : index.pools()) {
-      double share = demandShare(pool.get(0).model(), nowMs);
-      SlotShares.apply(pool, endpoint -> peers.announcedInFlight(endpoint.key()), share, random);
-    }
-  }
-
-  /** This daemon's part of the demand for a model; an equal part for plain upstreams. */
-  private double demandShare(@Nullable ModelSpec model, long nowMs) {
-    return model == null
-        ? 1.0 / Math.max(1, aliveDaemons(nowMs))
-        : peers.demandShare(
-            model.name(), demandMeter.requestsPerMinute(model.name(), nowMs), nowMs);
-  }
-
-  /** Rates of callers' requests by model. */
-  List<PeerState.Demand> demands() {
-    List<PeerState.Demand> demands = new ArrayList<>();
-    demandMeter
-        .requestsPerMinute(nowMs())
-        .forEach(
-            (model, rate) -> demands.add(new PeerState.Demand(PeerState.modelHash(model), rate)));
-    return demands;
-  }
-
-  /** Slots that the fleet's requests for a model occupy on average; 0 if unknown. */
-  double slotsNeeded(String model) {
-    long nowMs = nowMs();
-    int ownRate = demandMeter.requestsPerMinute(model, nowMs);
-    int fleetRate = peers.fleetRequestsPerMinute(model, ownRate, nowMs);
-    return demandMeter.slotsNeeded(model, Math.max(0, fleetRate), nowMs);
-  }
-
-  /** A request was served to its end after {@code runMs} at a model engine. */
-  void onServed(Endpoint endpoint, long runMs) {
-    ModelSpec model = endpoint.model();
-    if (model != null) {
-      demandMeter.onServed(model.name(), runMs, nowMs());
-    }
-  }
-
   /** Closes expired connections and discards outdated state. */
   void sweep() {
     connections.closeExpired();
--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
@@ -360,8 +360,10 @@
         loads,
         opened,
         ended,
-        core.demands(),
-        role.isPlanner() ? peers.fleetLoad(loads, core.demands(), clock.nowMs()) : null);
+        core.fleetDemand().rates(),
+        role.isPlanner()
+            ? peers.fleetLoad(loads, core.fleetDemand().rates(), clock.nowMs())
+            : null);
   }
 
   // periodic work
@@ -480,7 +482,7 @@
 
     @Override
     public double slotsNeeded(String model) {
-      return core.slotsNeeded(model);
+      return core.fleetDemand().slotsNeeded(model);
     }
 
     @Override
--- a/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
@@ -40,9 +40,6 @@
  */
 final class RequestFlow implements CallerConnection.RequestHandle, ExchangeListener {
 
-  /** Largest response body that is buffered before it is forwarded. */
-  private static final int MAX_BUFFERED_BYTES = 8_388_608;
-
   /** Several times the longest network delay between failure domains. */
   private static final int CONNECT_TIMEOUT_MS = 250;
 
@@ -64,6 +61,7 @@
   private final CallerRequest request;
   private final RequestLog requestLog;
   private final ByteBuf body;
+  private final ResponseBuffer responseBody;
   private final long arrivedMs;
   private final Set<String> triedIncarnations = new HashSet<>();
   private Route route;
@@ -77,7 +75,6 @@
   private @Nullable Exchange exchange;
   private @Nullable ResponseHead responseHead;
   private @Nullable EventSplitter events;
-  private @Nullable ByteBuf bufferedBody;
   private @Nullable ScheduledFuture<?> timer;
   private boolean isStreamStarted;
   private boolean isFirstEventSeen;
@@ -93,6 +90,7 @@
     this.request = request;
     this.requestLog = new RequestLog(core, request.id(), () -> this.route.name());
     this.body = body;
+    this.responseBody = new ResponseBuffer(core.responseBuffers());
     this.route = route;
     this.arrivedMs = core.nowMs();
     this.demand = new Demand(0, 0, 0, 0, false, arrivedMs);
@@ -260,22 +258,19 @@
       onEvents(head, data);
       return;
     }
-    if (bufferedBody == null) {
-      bufferedBody = data.alloc().heapBuffer(Math.max(256, data.readableBytes()));
-    }
-    if (bufferedBody.readableBytes() + data.readableBytes() > MAX_BUFFERED_BYTES) {
-      cancelExchange();
-      onFailure(SendFailure.GARBLED);
-      return;
-    }
-    if (!core.responseBuffers().tryReserve(data.readableBytes())) {
-      cancelExchange();
-      releaseEndpoint();
-      runCount++;
-      retryOrFail("response buffers full", ResultCode.UPSTREAM_LOST);
-      return;
+    switch (responseBody.append(data)) {
+      case OK -> {}
+      case TOO_LONG -> {
+        cancelExchange();
+        onFailure(SendFailure.GARBLED);
+      }
+      case NO_ROOM -> {
+        cancelExchange();
+        releaseEndpoint();
+        runCount++;
+        retryOrFail("response buffers full", ResultCode.UPSTREAM_LOST);
+      }
     }
-    bufferedBody.writeBytes(data);
   }
 
   private boolean isRelayedAsEvents(ResponseHead head) {
@@ -363,7 +358,7 @@
       return;
     }
     from.onOutcome(true, nowMs);
-    core.onServed(from, nowMs - sentMs);
+    core.fleetDemand().onServed(from, nowMs - sentMs);
     runState = RunState.RAN;
     if (!isStreamStarted) {
       caller.startStream(head.status(), head.headers());
@@ -384,7 +379,7 @@
         core.onMemberFault(from, head.faultyUpstream());
       }
     }
-    dropBufferedBody();
+    responseBody.clear();
     if (core.retryBudget().tryAcquire(service, core.daemonCount(), nowMs) && abandonAtMs > nowMs) {
       core.metrics().retry("not executed, status " + head.status());
       logRetry("not executed, status " + head.status());
@@ -396,9 +391,7 @@
 
   /** Forwards the upstream's response unchanged. */
   private void forwardResponse(ResponseHead head) {
-    ByteBuf content = bufferedBody == null ? Unpooled.EMPTY_BUFFER : bufferedBody;
-    core.responseBuffers().release(content.readableBytes());
-    bufferedBody = null;
+    ByteBuf content = responseBody.take();
     if (isStreamStarted) {
       content.release();
       caller.abort();
@@ -447,14 +440,14 @@
       forwardResponse(head);
       return;
     }
-    dropBufferedBody();
+    responseBody.clear();
     core.metrics().retry(reason);
     logRetry(reason);
     core.admit(this);
   }
 
   private void retryOrFail(String reason, ResultCode code) {
-    dropBufferedBody();
+    responseBody.clear();
     if (events != null) {
       events.dropPartial();
     }
@@ -581,20 +574,12 @@
     return endpoint == null ? "" : endpoint.upstream().id();
   }
 
-  private void dropBufferedBody() {
-    if (bufferedBody != null) {
-      core.responseBuffers().release(bufferedBody.readableBytes());
-      bufferedBody.release();
-      bufferedBody = null;
-    }
-  }
-
   private void finish(ResultCode code, int status, @Nullable String outcome) {
     isEnded = true;
     if (timer != null) {
       timer.cancel(false);
     }
-    dropBufferedBody();
+    responseBody.clear();
     if (events != null) {
       events.release();
       events = null;
--- /dev/null
+++ b/limpet-entry/src/main/java/org/limpetring/entry/ResponseBuffer.java
@@ -0,0 +1,57 @@
+package org.limpetring.entry;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import org.jspecify.annotations.Nullable;
+import org.limpetring.entry.net.BufferBudget;
+
+/** Body of a response that is buffered until it is complete, within the daemon's budget. */
+final class ResponseBuffer {
+
+  /** Result of adding bytes. */
+  enum Appended {
+    OK,
+    /** The body exceeds what one response may have. */
+    TOO_LONG,
+    /** The daemon buffers as much as it may for all responses. */
+    NO_ROOM
+  }
+
+  /** Largest response body that is buffered before it is forwarded. */
+  private static final int MAX_BYTES = 8_388_608;
+
+  private final BufferBudget budget;
+  private @Nullable ByteBuf body;
+
+  ResponseBuffer(BufferBudget budget) {
+    this.budget = budget;
+  }
+
+  /** Adds bytes unless a limit is exceeded; the caller keeps its reference. */
+  Appended append(ByteBuf data) {
+    if (body == null) {
+      body = data.alloc().heapBuffer(Math.max(256, data.readableBytes()));
+    }
+    if (body.readableBytes() + data.readableBytes() > MAX_BYTES) {
+      return Appended.TOO_LONG;
+    }
+    if (!budget.tryReserve(data.readableBytes())) {
+      return Appended.NO_ROOM;
+    }
+    body.writeBytes(data);
+    return Appended.OK;
+  }
+
+  /** Returns the body, to be released by the caller, and leaves this buffer empty. */
+  ByteBuf take() {
+    ByteBuf taken = body == null ? Unpooled.EMPTY_BUFFER : body;
+    budget.release(taken.readableBytes());
+    body = null;
+    return taken;
+  }
+
+  /** Discards the body. */
+  void clear() {
+    take().release();
+  }
+}
