--- a/limpet-base/src/main/java/org/limpetring/base/LogEvent.java
+++ b/limpet-base/src/main/java/org/limpetring/base/LogEvent.java
@@ -66,6 +66,7 @@
   REQUEST_LEFT(5009, Logger.Level.INFO, "caller disconnected before the response was complete"),
   REQUEST_WAITING(5010, Logger.Level.INFO, "request is waiting for a slot"),
   ANSWER_CROSSED(5011, Logger.Level.WARN, "upstream sent the response of another request"),
+  REQUEST_INTERRUPTED(5012, Logger.Level.INFO, "connection to the upstream broke during a request"),
   CLAIM_LOST_ANSWER(
       5006, Logger.Level.INFO, "outcome of the claim write of shard %s determined by a read"),
 
--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
@@ -365,10 +365,15 @@
         : CROSS_DOMAIN_COST_MS;
   }
 
+  /** Remaining cold time of an endpoint's upstream; 0 if it is warm or no longer listed. */
+  long coldLeftMs(Endpoint endpoint) {
+    PlatformView.UpstreamEntry listed = view.listed(endpoint.upstream().id());
+    return listed == null ? 0 : Math.max(0, listed.coldLeftMs(nowMs()));
+  }
+
   /** Whether one more request may go there; a cold endpoint only gets this daemon's share. */
   private boolean tryAcquireColdRate(Endpoint endpoint, long nowMs) {
-    PlatformView.UpstreamEntry listed = view.listed(endpoint.upstream().id());
-    if (listed == null || listed.coldLeftMs(nowMs) <= 0) {
+    if (coldLeftMs(endpoint) <= 0) {
       return true;
     }
     ServiceSpec service = table.config().service(endpoint.upstream().service());
--- a/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
@@ -88,7 +88,7 @@
     this.core = core;
     this.caller = caller;
     this.request = request;
-    this.requestLog = new RequestLog(core, request.id(), () -> this.route.name());
+    this.requestLog = new RequestLog(core, request, () -> this.route.name());
     this.body = body;
     this.responseBody = new ResponseBuffer(core.responseBuffers());
     this.route = route;
@@ -412,6 +412,9 @@
     releaseEndpoint();
     from.onOutcome(false, nowMs);
     core.onSendFailure(from, failure);
+    if (failure == SendFailure.BROKEN) {
+      requestLog.interrupted(from, eventsInRun, nowMs - sentMs, core.coldLeftMs(from));
+    }
     if (failure.isUnsent()) {
       if (runCount == 0) {
         runState = RunState.NOT_RUN;
--- a/limpet-entry/src/main/java/org/limpetring/entry/RequestLog.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/RequestLog.java
@@ -6,17 +6,20 @@
 import org.limpetring.base.ResultCode;
 import org.limpetring.base.RunState;
 import org.limpetring.entry.balancing.Endpoint;
+import org.limpetring.entry.port.CallerRequest;
 
 /** Log events of one request: one per decision, all with the request id. */
 final class RequestLog {
 
   private final EntryCore core;
   private final String requestId;
+  private final String promptParts;
   private final Supplier<String> routeName;
 
-  RequestLog(EntryCore core, String requestId, Supplier<String> routeName) {
+  RequestLog(EntryCore core, CallerRequest request, Supplier<String> routeName) {
     this.core = core;
-    this.requestId = requestId;
+    this.requestId = request.id();
+    this.promptParts = String.join(",", request.promptParts());
     this.routeName = routeName;
   }
 
@@ -45,10 +48,33 @@
             leftMs,
             "run",
             previousRuns,
+            "parts",
+            promptParts,
             "config",
             configVersion());
   }
 
+  /** The connection to the upstream broke after the request was sent. */
+  void interrupted(Endpoint from, long eventsInRun, long afterMs, long coldLeftMs) {
+    core.log()
+        .write(
+            LogEvent.REQUEST_INTERRUPTED,
+            "request",
+            requestId,
+            "upstream",
+            from.upstream().incarnation(),
+            "parts",
+            promptParts,
+            "eventsInRun",
+            eventsInRun,
+            "afterMs",
+            afterMs,
+            "inFlight",
+            from.inFlight(),
+            "coldLeftMs",
+            coldLeftMs);
+  }
+
   /** The upstream's response carries the id of another request. */
   void mismatched(String upstreamId, String respondedRequestId) {
     core.log()
--- a/limpet-entry/src/main/java/org/limpetring/entry/port/CallerRequest.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/port/CallerRequest.java
@@ -2,6 +2,7 @@
 
 import io.netty.handler.codec.http.HttpHeaders;
 import io.netty.handler.codec.http.HttpMethod;
+import java.util.List;
 import org.jspecify.annotations.Nullable;
 
 /**
@@ -14,6 +15,8 @@
  * @param key the caller's key, or null
  * @param model model that the request is for, or null
  * @param promptTokens prompt length; 0 if missing
+ * @param promptParts ids of the parts of the prompt, in order; other requests may share all but the
+ *     last one
  * @param maxOutputTokens output limit; 0 if missing
  * @param lengthHint the caller's estimate of the output length in tokens; 0 if missing
  * @param lastEventId last event that the caller received from an earlier stream, or null
@@ -28,11 +31,17 @@
     @Nullable String key,
     @Nullable String model,
     int promptTokens,
+    List<String> promptParts,
     int maxOutputTokens,
     int lengthHint,
     @Nullable String lastEventId,
     HttpHeaders headers) {
 
+  /** Makes a defensive copy of the prompt parts. */
+  public CallerRequest {
+    promptParts = List.copyOf(promptParts);
+  }
+
   /** Returns the path without the query. */
   public String path() {
     int query = uri.indexOf('?');
