--- a/limpet-entryd/src/test/java/org/limpetring/entryd/StandinUpstream.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/StandinUpstream.java
@@ -12,7 +12,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Consumer;
 import java.util.function.IntUnaryOperator;
@@ -43,15 +46,28 @@
 
   private static final int EVENT_COUNT = 5;
 
+  /** Reported start time of the first incarnation; each restart adds one. */
+  private static final long FIRST_START_MS = 7;
+
+  /** Time after a crash in which nothing listens. */
+  private static final long RESTART_MS = 700;
+
+  /** Time that an engine reads a prompt before it begins to answer. */
+  private static final long PREFILL_MS = 60;
+
   /** Id of its entry in the store. */
   public final String id;
 
   private final String service;
   private final boolean isEngine;
   private final StandinPlatform store;
-  private final ServerSocket socket;
+  private volatile ServerSocket socket;
+  private volatile boolean isClosed;
   private final AtomicReference<Fault> fault;
   private final IntUnaryOperator registeredPort;
+  private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
+  private volatile String deadlyPart = "";
+  private long startedAtMs = FIRST_START_MS;
   private String group = "null";
   private Consumer<String> joinListener = group -> {};
 
@@ -86,14 +102,61 @@
     this.service = service;
     this.isEngine = isEngine;
     this.store = store;
-    this.socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
     this.registeredPort = registeredPort;
-    Thread acceptor = new Thread(this::accept, id);
-    acceptor.setDaemon(true);
-    acceptor.start();
+    this.socket = listen();
     register("ready");
   }
 
+  private ServerSocket listen() throws IOException {
+    ServerSocket listening = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    startThread(() -> accept(listening), id);
+    return listening;
+  }
+
+  private static void startThread(Runnable task, String name) {
+    Thread thread = new Thread(task, name);
+    thread.setDaemon(true);
+    thread.start();
+  }
+
+  /** Sets a prompt part that crashes this engine when it begins to answer a request with it. */
+  void setDeadlyPart(String part) {
+    deadlyPart = part;
+  }
+
+  /** Resets all connections, listens to nothing for a while, and returns as a new incarnation. */
+  private void crash() {
+    try {
+      socket.close();
+      for (Socket connection : connections) {
+        connection.setSoLinger(true, 0);
+        connection.close();
+      }
+    } catch (IOException failure) {
+      throw new IllegalStateException("closing sockets failed", failure);
+    }
+    startThread(this::restart, id + "-restart");
+  }
+
+  private void restart() {
+    try {
+      TimeUnit.MILLISECONDS.sleep(RESTART_MS);
+      synchronized (this) {
+        if (isClosed) {
+          return;
+        }
+        startedAtMs++;
+        group = "null";
+        socket = listen();
+      }
+      register("ready");
+    } catch (IOException failure) {
+      throw new IllegalStateException("restart failed", failure);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+    }
+  }
+
   /** Writes the upstream's entry, with {@code state}, to the store. */
   synchronized void register(String state) {
     store.put("servers", id, entry(state));
@@ -105,17 +168,16 @@
             ? ",\"domain\":\"d\",\"staged\":[\"m\"],\"models\":[{\"name\":\"m\",\"version\":1}],\"group\":"
                 + group
             : "";
-    return "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"a\",\"slots\":4,\"state\":\"%s\",\"cold_left_ms\":0,\"born\":7%s}"
-        .formatted(service, registeredPort.applyAsInt(socket.getLocalPort()), state, engine);
+    return "{\"service\":\"%s\",\"addr\":\"127.0.0.1:%d\",\"zone\":\"a\",\"slots\":4,\"state\":\"%s\",\"cold_left_ms\":0,\"born\":%d%s}"
+        .formatted(
+            service, registeredPort.applyAsInt(socket.getLocalPort()), state, startedAtMs, engine);
   }
 
-  private void accept() {
-    while (!socket.isClosed()) {
+  private void accept(ServerSocket listening) {
+    while (!listening.isClosed()) {
       try {
-        Socket connection = socket.accept();
-        Thread handler = new Thread(() -> serve(connection), id + "-connection");
-        handler.setDaemon(true);
-        handler.start();
+        Socket connection = listening.accept();
+        startThread(() -> serve(connection), id + "-connection");
       } catch (IOException closed) {
         return;
       }
@@ -123,6 +185,7 @@
   }
 
   private void serve(Socket connection) {
+    connections.add(connection);
     try (connection) {
       BufferedReader in =
           new BufferedReader(
@@ -150,6 +213,8 @@
       }
     } catch (IOException closed) {
       // the peer closed the connection
+    } finally {
+      connections.remove(connection);
     }
   }
 
@@ -170,6 +235,10 @@
     if (injected != Fault.NOT_EXECUTED) {
       executed.add(request);
     }
+    if (hasDeadlyPart(request)) {
+      crash();
+      return false;
+    }
     String echo = "X-Limpetring-Request-Id: " + request.get("x-limpetring-request-id") + "\r\n";
     String seal = "X-Limpetring-Server-Seal: seal-" + id + "\r\n";
     switch (injected) {
@@ -210,6 +279,20 @@
     return stream(request, echo + seal, injected, out);
   }
 
+  private boolean hasDeadlyPart(Map<String, String> request) throws IOException {
+    String prefix = request.getOrDefault("x-limpetring-prompt-prefix", "");
+    if (deadlyPart.isEmpty() || !prefix.contains(deadlyPart)) {
+      return false;
+    }
+    try {
+      TimeUnit.MILLISECONDS.sleep(PREFILL_MS);
+    } catch (InterruptedException interrupted) {
+      Thread.currentThread().interrupt();
+      throw new IOException("interrupted while reading a prompt", interrupted);
+    }
+    return true;
+  }
+
   private boolean stream(
       Map<String, String> request, String headers, Fault injected, OutputStream out)
       throws IOException {
@@ -299,7 +382,10 @@
 
   @Override
   public void close() throws IOException {
-    socket.close();
+    synchronized (this) {
+      isClosed = true;
+      socket.close();
+    }
     store.remove("servers", id);
   }
 }
