Requests with a deadly prompt part are refused by the whole fleet after three crashes

Cause: nothing on the entry path remembered which requests were in progress when an upstream crashed. Each attempt was bounded by itself (the route's attempts), so an unlimited number of requests with the same part, and retries of them, went on to the next upstream. Class of fault: a failure whose cause travels with the input, handled as a failure of the place. Change: a request that is interrupted before its response began is a suspect; its prompt parts but the last, and a fingerprint of the whole, are its traits. PoisonDetector blames the trait that explains the most confirmed crashes (CrashAttribution), quarantines it after three, and stops retries after two. Responses clear traits. Daemons exchange evidence with their announcements, at once when it is new. Refused as not run with code 2014 and the rest of the quarantine as Retry-After; failed with 502 if it has run. Why it works: a deadly part is never answered, so nothing clears it, while its companions are cleared by sound requests or explained away.

--- a/limpet-base/src/main/java/org/limpetring/base/LogEvent.java
+++ b/limpet-base/src/main/java/org/limpetring/base/LogEvent.java
@@ -67,6 +67,12 @@
   REQUEST_WAITING(5010, Logger.Level.INFO, "request is waiting for a slot"),
   ANSWER_CROSSED(5011, Logger.Level.WARN, "upstream sent the response of another request"),
   REQUEST_INTERRUPTED(5012, Logger.Level.INFO, "connection to the upstream broke during a request"),
+  TRAIT_QUARANTINED(
+      5013, Logger.Level.WARN, "requests with a trait that crashed upstreams are refused"),
+  TRAIT_RELEASED(
+      5014,
+      Logger.Level.INFO,
+      "requests with a trait are accepted again, it did not crash upstreams"),
   CLAIM_LOST_ANSWER(
       5006, Logger.Level.INFO, "outcome of the claim write of shard %s determined by a read"),
 
--- a/limpet-base/src/main/java/org/limpetring/base/ResultCode.java
+++ b/limpet-base/src/main/java/org/limpetring/base/ResultCode.java
@@ -91,6 +91,12 @@
       RunState.NOT_RUN,
       Retry.LATER,
       "Each upstream tried refused before taking the request."),
+  QUARANTINED(
+      2014,
+      503,
+      RunState.NOT_RUN,
+      Retry.LATER,
+      "The request contains what has recently crashed upstreams."),
 
   UPSTREAM_LOST(
       3001, 502, RunState.UNKNOWN, Retry.IF_IDEMPOTENT, "The connection broke after dispatch."),
--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
@@ -156,18 +156,19 @@
    * linearizable.
    */
   private PlatformStore.Consistency watchFreshness() {
-    int knownDaemons = peers.knownCount();
-    boolean isPlannerReachable =
-        peers.plannerAddress(AnnouncementSchedule.plannerSilenceMs(knownDaemons), clock.nowMs())
-            != null;
     boolean mayReadStale =
         !role.isPlanner()
-            && isPlannerReachable
+            && isPlannerReachable(clock.nowMs())
             && !Rendezvous.owners(WATCHERS_HASH_KEY, peers.knownNames(), LINEARIZABLE_WATCHERS)
                 .contains(settings.daemonName());
     return mayReadStale ? PlatformStore.Consistency.STALE : PlatformStore.Consistency.LINEARIZABLE;
   }
 
+  private boolean isPlannerReachable(long nowMs) {
+    long silenceMs = AnnouncementSchedule.plannerSilenceMs(peers.knownCount());
+    return peers.plannerAddress(silenceMs, nowMs) != null;
+  }
+
   /** Opens the sockets, starts the watches and registers the daemon. */
   public void start() {
     loop.execute(this::startOnLoop);
@@ -281,6 +282,7 @@
     long nowMs = clock.nowMs();
     peers.onReceived(state, from, nowMs);
     role.onPeerState(state, nowMs);
+    core.poison().merge(state.crashEvidence(), role.isPlanner());
     List<KindWatcher<?>> watchers = watchers();
     for (int i = 0; i < Math.min(watchers.size(), state.revisions().size()); i++) {
       watchers.get(i).onPeerRevision(state.revisions().get(i));
@@ -319,6 +321,9 @@
       directory.list();
     }
     wasPlanner = isPlanner;
+    if (core.poison().takeNews()) {
+      gossipSchedule.expedite();
+    }
     AnnouncementSchedule.Recipients recipients =
         gossipSchedule.next(isPlanner, planner != null, knownDaemons, nowMs);
     if (recipients == AnnouncementSchedule.Recipients.NONE) {
@@ -361,6 +366,7 @@
         opened,
         ended,
         core.fleetDemand().rates(),
+        core.poison().evidence(role.isPlanner() || !isPlannerReachable(clock.nowMs())),
         role.isPlanner()
             ? peers.fleetLoad(loads, core.fleetDemand().rates(), clock.nowMs())
             : null);
--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryMetrics.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryMetrics.java
@@ -48,6 +48,17 @@
           .name("limpet_entry_waiting")
           .help("Requests that wait for a place")
           .register(registry);
+  private final Gauge quarantined =
+      Gauge.builder()
+          .name("limpet_entry_quarantined_traits")
+          .help("Traits of requests that are refused because they crashed upstreams")
+          .register(registry);
+  private final Counter interrupted =
+      Counter.builder()
+          .name("limpet_entry_interrupted_total")
+          .help("Requests whose connection to the upstream broke, by whether a response had begun")
+          .labelNames("response")
+          .register(registry);
   private final Histogram firstEventMs =
       Histogram.builder()
           .name("limpet_entry_first_event_ms")
@@ -96,6 +107,16 @@
     waiting.set(count);
   }
 
+  /** Sets the number of quarantined traits. */
+  public void quarantined(int count) {
+    quarantined.set(count);
+  }
+
+  /** Counts a request whose connection to the upstream broke. */
+  public void interrupted(boolean hadBegun) {
+    interrupted.labelValues(hadBegun ? "begun" : "not begun").inc();
+  }
+
   /** All metrics in the Prometheus text format. */
   public byte[] text() throws IOException {
     ByteArrayOutputStream out = new ByteArrayOutputStream(4_096);
--- a/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
@@ -14,6 +14,7 @@
 import io.netty.util.concurrent.ScheduledFuture;
 import java.nio.charset.StandardCharsets;
 import java.util.HashSet;
+import java.util.List;
 import java.util.Locale;
 import java.util.Set;
 import java.util.concurrent.TimeUnit;
@@ -30,6 +31,7 @@
 import org.limpetring.entry.net.Exchange;
 import org.limpetring.entry.net.ExchangeListener;
 import org.limpetring.entry.net.SendFailure;
+import org.limpetring.entry.poison.RequestTraits;
 import org.limpetring.entry.port.CallerRequest;
 import org.limpetring.entry.port.ForwardingParameters;
 import org.limpetring.entry.port.ResponseHead;
@@ -82,6 +84,8 @@
   private long sentMs;
   private long lastEventMs;
   private long eventsInRun;
+  private boolean hasResponseBegun;
+  private @Nullable List<String> traits;
 
   RequestFlow(
       EntryCore core, CallerConnection caller, CallerRequest request, ByteBuf body, Route route) {
@@ -174,7 +178,33 @@
     route = now;
     team = core.table().team(request.key());
     service = core.table().service(now, routingSample());
-    return true;
+    return !isQuarantined();
+  }
+
+  private boolean isQuarantined() {
+    PoisonGuard poison = core.poison();
+    long leftMs = poison.isQuarantineEmpty() ? 0 : poison.quarantineLeftMs(traits());
+    if (leftMs > 0) {
+      reject(ResultCode.QUARANTINED, leftMs, "quarantined trait");
+    }
+    return leftMs > 0;
+  }
+
+  /** What this request shares with others that may crash an upstream. */
+  private List<String> traits() {
+    List<String> known = traits;
+    if (known == null) {
+      String model = request.model();
+      known =
+          RequestTraits.of(
+              model == null ? service : model,
+              request.promptParts(),
+              team == null ? null : team.name(),
+              request.method() + " " + request.uri(),
+              body.nioBuffer());
+      traits = known;
+    }
+    return known;
   }
 
   /** Sends the request to an endpoint. */
@@ -308,6 +338,7 @@
   private void markFirstEvent(long nowMs) {
     if (!isFirstEventSeen) {
       isFirstEventSeen = true;
+      onResponseBegun();
       currentEndpoint().onFirstEvent(request.promptTokens());
       core.metrics().firstEventMs().observe(nowMs - arrivedMs);
     }
@@ -341,6 +372,9 @@
     }
     boolean isFailure = head.status() >= SERVER_ERROR;
     from.onOutcome(!isFailure, nowMs);
+    if (!isFailure) {
+      onResponseBegun();
+    }
     runCount++;
     boolean mayRetry = RetryRule.mayRetry(route, runState, runCount) && core.nowMs() < abandonAtMs;
     if (isFailure && mayRetry) {
@@ -413,7 +447,7 @@
     from.onOutcome(false, nowMs);
     core.onSendFailure(from, failure);
     if (failure == SendFailure.BROKEN) {
-      requestLog.interrupted(from, eventsInRun, nowMs - sentMs, core.coldLeftMs(from));
+      onInterrupted(from, nowMs);
     }
     if (failure.isUnsent()) {
       if (runCount == 0) {
@@ -427,6 +461,20 @@
         failure.isUnsent() ? ResultCode.UPSTREAM_REFUSED : ResultCode.UPSTREAM_LOST);
   }
 
+  private void onInterrupted(Endpoint from, long nowMs) {
+    requestLog.interrupted(from, eventsInRun, nowMs - sentMs, core.coldLeftMs(from));
+    core.metrics().interrupted(hasResponseBegun);
+    if (!hasResponseBegun) {
+      core.poison().onInterrupted(from, traits());
+    }
+  }
+
+  /** The upstream has begun to answer, so this request is not what crashes upstreams. */
+  private void onResponseBegun() {
+    hasResponseBegun = true;
+    core.poison().onAnswering(traits());
+  }
+
   /** The group that runs the request is lost; moves the request to another if the rules allow. */
   void onGroupLost(String reason) {
     if (isEnded || exchange == null || !RetryRule.mayMove(route, runCount)) {
@@ -454,7 +502,10 @@
     if (events != null) {
       events.dropPartial();
     }
-    boolean isAllowed = RetryRule.mayRetry(route, runState, runCount) && core.nowMs() < abandonAtMs;
+    boolean isAllowed =
+        RetryRule.mayRetry(route, runState, runCount)
+            && core.nowMs() < abandonAtMs
+            && (hasResponseBegun || runCount == 0 || core.poison().mayRetry(traits()));
     if (isAllowed && core.retryBudget().tryAcquire(service, core.daemonCount(), core.nowMs())) {
       core.metrics().retry(reason);
       logRetry(reason);
--- a/limpet-entry/src/main/java/org/limpetring/entry/peer/AnnouncementSchedule.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/peer/AnnouncementSchedule.java
@@ -65,6 +65,11 @@
     return MISSED_INTERVALS * intervalMs(knownDaemons) + JITTER_MARGIN_MS;
   }
 
+  /** Makes the next announcement due at once. */
+  public void expedite() {
+    lastSentMs = Long.MIN_VALUE / 2;
+  }
+
   /** Returns the recipients of an announcement that is due now, or NONE, and records it as sent. */
   public Recipients next(boolean isPlanner, boolean isPlannerAlive, int knownDaemons, long nowMs) {
     firstCallMs = Math.min(firstCallMs, nowMs);
--- a/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerState.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerState.java
@@ -8,6 +8,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import org.jspecify.annotations.Nullable;
+import org.limpetring.entry.poison.CrashEvidence;
 
 /**
  * Datagram in which a daemon announces its state to others, in the protobuf wire format.
@@ -22,6 +23,7 @@
  * @param openedEndpoints endpoints of groups that the sender, as planner, has recently opened
  * @param endedEndpoints endpoints of groups that the sender, as planner, is dissolving
  * @param demands rates at which callers' requests reach the sender, by model
+ * @param crashEvidence what the sender knows about requests that crash upstreams
  * @param fleet load of all daemons, aggregated by the planner; null from other daemons
  */
 public record PeerState(
@@ -37,6 +39,7 @@
     List<String> openedEndpoints,
     List<String> endedEndpoints,
     List<Demand> demands,
+    CrashEvidence crashEvidence,
     @Nullable FleetLoad fleet) {
 
   /**
@@ -94,6 +97,9 @@
   private static final int IS_STORE_UNREACHABLE = 13;
   private static final int DEMAND = 14;
   private static final int FLEET_DEMAND = 15;
+  private static final int INTERRUPTION = 16;
+  private static final int ANSWERED_TRAIT = 17;
+  private static final int QUARANTINED_TRAIT = 18;
   private static final int DEMAND_MODEL = 1;
   private static final int DEMAND_REQUESTS_PER_MINUTE = 2;
   private static final int LOAD_ENDPOINT = 1;
@@ -136,6 +142,15 @@
       for (Demand demand : demands) {
         out.writeByteArray(DEMAND, encode(demand));
       }
+      for (CrashEvidence.Interruption each : crashEvidence.interruptions()) {
+        out.writeByteArray(INTERRUPTION, CrashEvidenceCodec.encode(each));
+      }
+      for (CrashEvidence.Sighting each : crashEvidence.answered()) {
+        out.writeByteArray(ANSWERED_TRAIT, CrashEvidenceCodec.encode(each));
+      }
+      for (CrashEvidence.Sighting each : crashEvidence.quarantined()) {
+        out.writeByteArray(QUARANTINED_TRAIT, CrashEvidenceCodec.encode(each));
+      }
       if (fleet != null) {
         out.writeInt32(FLEET_DAEMONS, fleet.daemons());
         for (Demand demand : fleet.demands()) {
@@ -193,6 +208,9 @@
     int fleetDaemons = 0;
     List<Demand> fleetDemands = new ArrayList<>();
     List<Load> fleetLoads = new ArrayList<>();
+    List<CrashEvidence.Interruption> interruptions = new ArrayList<>();
+    List<CrashEvidence.Sighting> answered = new ArrayList<>();
+    List<CrashEvidence.Sighting> quarantined = new ArrayList<>();
     for (int tag = in.readTag(); tag != 0; tag = in.readTag()) {
       switch (WireFormat.getTagFieldNumber(tag)) {
         case NAME -> name = in.readString();
@@ -210,6 +228,11 @@
         case FLEET_DAEMONS -> fleetDaemons = in.readInt32();
         case FLEET_DEMAND -> fleetDemands.add(decodeDemand(in.readByteArray()));
         case FLEET_LOAD -> fleetLoads.add(decodeLoad(in.readByteArray()));
+        case INTERRUPTION ->
+            interruptions.add(CrashEvidenceCodec.decodeInterruption(in.readByteArray()));
+        case ANSWERED_TRAIT -> answered.add(CrashEvidenceCodec.decodeSighting(in.readByteArray()));
+        case QUARANTINED_TRAIT ->
+            quarantined.add(CrashEvidenceCodec.decodeSighting(in.readByteArray()));
         default -> in.skipField(tag);
       }
     }
@@ -229,6 +252,7 @@
         openedEndpoints,
         endedEndpoints,
         demands,
+        new CrashEvidence(interruptions, answered, quarantined),
         fleetDaemons > 0 ? new FleetLoad(fleetDaemons, fleetDemands, fleetLoads) : null);
   }
 
--- a/limpet-entry/src/test/java/org/limpetring/entry/balancing/OverloadSimulation.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/balancing/OverloadSimulation.java
@@ -13,6 +13,7 @@
 import org.limpetring.entry.peer.AnnouncementSchedule;
 import org.limpetring.entry.peer.PeerRegistry;
 import org.limpetring.entry.peer.PeerState;
+import org.limpetring.entry.poison.CrashEvidence;
 
 /**
  * Load pattern of a fleet of small daemons in front of the same heads, in simulated time: the real
@@ -188,6 +189,7 @@
           List.of(),
           List.of(),
           demands,
+          CrashEvidence.NONE,
           isPlanner ? peers.fleetLoad(loads, demands, nowMs) : null);
     }
   }
--- a/limpet-entry/src/test/java/org/limpetring/entry/group/PlannerRoleTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/group/PlannerRoleTest.java
@@ -15,6 +15,7 @@
 import org.limpetring.entry.model.GroupPlan;
 import org.limpetring.entry.peer.PeerRegistry;
 import org.limpetring.entry.peer.PeerState;
+import org.limpetring.entry.poison.CrashEvidence;
 
 /**
  * Tests planner takeover when planners fail or are cut off from the store or from other daemons.
@@ -56,6 +57,7 @@
             List.of(),
             List.of(),
             List.of(),
+            CrashEvidence.NONE,
             new PeerState.FleetLoad(10, List.of(), List.of()));
     peers.onReceived(state, TestData.address(2), clock.nowMs());
     role.onPeerState(state, clock.nowMs());
@@ -66,8 +68,20 @@
     for (int i = 3; i <= 10; i++) {
       PeerState state =
           new PeerState(
-              "d" + i, "a", 1, 1, false, false, false, List.of(), List.of(), List.of(), List.of(),
-              List.of(), null);
+              "d" + i,
+              "a",
+              1,
+              1,
+              false,
+              false,
+              false,
+              List.of(),
+              List.of(),
+              List.of(),
+              List.of(),
+              List.of(),
+              CrashEvidence.NONE,
+              null);
       peers.onReceived(state, TestData.address(i), clock.nowMs());
       role.onPeerState(state, clock.nowMs());
     }
--- a/limpet-entry/src/test/java/org/limpetring/entry/peer/PeerStateTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/peer/PeerStateTest.java
@@ -13,9 +13,16 @@
 import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.Test;
 import org.limpetring.entry.TestData;
+import org.limpetring.entry.poison.CrashEvidence;
 
 final class PeerStateTest {
 
+  private static final CrashEvidence EVIDENCE =
+      new CrashEvidence(
+          List.of(new CrashEvidence.Interruption("u@1", List.of("m/a", "m#b"), 70, true)),
+          List.of(new CrashEvidence.Sighting("m/c", 0)),
+          List.of(new CrashEvidence.Sighting("m/d", 9_000)));
+
   private static PeerState state(String name, int inFlight, boolean isSuspected) {
     return state(name, inFlight, isSuspected, null);
   }
@@ -35,6 +42,7 @@
         List.of("y/g/3"),
         List.of("x/g/2"),
         List.of(new PeerState.Demand(4, 600)),
+        EVIDENCE,
         fleet);
   }
 
@@ -71,6 +79,20 @@
     assertThrows(IOException.class, () -> PeerState.decode(new byte[0]));
   }
 
+  @Test
+  void interruptionWithoutTraitsIsRejected() {
+    CrashEvidence evidence =
+        new CrashEvidence(
+            List.of(new CrashEvidence.Interruption("u@1", List.of(), 70, true)),
+            List.of(),
+            List.of());
+    PeerState state =
+        new PeerState(
+            "d1", "a", 7, 3, false, false, false, List.of(), List.of(), List.of(), List.of(),
+            List.of(), evidence, null);
+    assertThrows(IOException.class, () -> PeerState.decode(state.encode()));
+  }
+
   @Test
   void loadsOfSilentDaemonsAreNotCounted() {
     PeerRegistry registry = new PeerRegistry("own");
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/EntryLayersTest.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/EntryLayersTest.java
@@ -33,6 +33,7 @@
         .resideInAnyPackage(
             "org.limpetring.entry.model..",
             "org.limpetring.entry.balancing..",
+            "org.limpetring.entry.poison..",
             "org.limpetring.entry.route..")
         .should()
         .dependOnClassesThat()
