An odd entry no longer stops the list of upstreams

Numbers beyond 64 bits were cut to other values, infinite ones accepted, and an address such as 999.0.0.1 was looked up as a name, on the event loop. Addresses are parsed as octets. Port out of range was handled before.

--- a/limpet-entry/src/main/java/org/limpetring/entry/SettingsReader.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/SettingsReader.java
@@ -3,6 +3,7 @@
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import com.fasterxml.jackson.databind.JsonNode;
 import com.fasterxml.jackson.databind.json.JsonMapper;
+import io.netty.util.NetUtil;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -17,6 +18,7 @@
 public final class SettingsReader {
 
   private static final int MS_PER_S = 1_000;
+  private static final int IPV4_BYTES = 4;
   private static final JsonMapper MAPPER =
       JsonMapper.builder().enable(JsonReadFeature.ALLOW_JAVA_COMMENTS).build();
 
@@ -106,14 +108,16 @@
    */
   public static InetSocketAddress parseAddress(String text) {
     int colon = text.lastIndexOf(':');
-    if (colon <= 0 || !text.substring(0, colon).matches("\\d{1,3}(\\.\\d{1,3}){3}")) {
+    byte[] ip =
+        colon <= 0 ? null : NetUtil.createByteArrayFromIpAddressString(text.substring(0, colon));
+    if (ip == null || ip.length != IPV4_BYTES) {
       throw new IllegalArgumentException("expected IP:PORT, got '" + text + "'");
     }
     try {
       int port = Integer.parseInt(text.substring(colon + 1));
-      return new InetSocketAddress(InetAddress.getByName(text.substring(0, colon)), port);
-    } catch (UnknownHostException | NumberFormatException failure) {
-      throw new IllegalArgumentException("expected IP:PORT, got '" + text + "'");
+      return new InetSocketAddress(InetAddress.getByAddress(ip), port);
+    } catch (UnknownHostException | IllegalArgumentException failure) {
+      throw new IllegalArgumentException("expected IP:PORT, got '" + text + "'", failure);
     }
   }
 }
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
@@ -19,10 +19,14 @@
 import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.stream.Stream;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.limpetring.base.Clock;
 import org.limpetring.entry.DecisionLog;
 import org.limpetring.entry.EntryDaemon;
@@ -204,6 +208,38 @@
     await().atMost(Duration.ofSeconds(2)).until(() -> send("/r/x", "k").statusCode() == 200);
   }
 
+  /** Another writer leaves an entry that a parser's limits or a field's range refuse. */
+  @ParameterizedTest
+  @MethodSource("oddEntries")
+  void oddEntryDoesNotStopTheListOfUpstreams(String entry) throws Exception {
+    store.put("servers", "odd", entry);
+    plain.register("draining");
+    await().atMost(Duration.ofSeconds(2)).until(() -> send("/r/x", "k").statusCode() == 503);
+    store.setDown(true);
+    TimeUnit.MILLISECONDS.sleep(2_500); // longer than a watch waits, so that it ends and fails
+    plain.register("ready");
+    store.setDown(false);
+    await().atMost(Duration.ofSeconds(3)).until(() -> send("/r/x", "k").statusCode() == 200);
+    assertThat(send("/s/x", "k").body()).isEqualTo(StandinUpstream.COMPLETE_STREAM);
+  }
+
+  private static Stream<String> oddEntries() {
+    String entry =
+        "{\"service\":\"plain\",\"addr\":\"%s\",\"zone\":\"a\",\"slots\":%s,\"state\":\"ready\","
+            + "\"cold_left_ms\":%s,\"born\":%s,\"extra\":%s}";
+    String nested = "[".repeat(20_000) + "]".repeat(20_000);
+    String address = "127.0.0.1:9";
+    return Stream.of(
+        entry.formatted(address, "-1", "0", "7", nested),
+        entry.formatted(address, "-1", "0", "7", "{\"a\":".repeat(5_000) + "1" + "}".repeat(5_000)),
+        entry.formatted(address, "9".repeat(5_000), "0", "7", "0"),
+        entry.formatted(address, "4", "1e999", "7", "0"),
+        entry.formatted(address, "4", "0", "1" + "0".repeat(30), "0"),
+        entry.formatted("127.0.0.1:70000", "4", "0", "7", "0"),
+        entry.formatted("127.0.0.1:-5", "4", "0", "7", "0"),
+        entry.formatted("999.0.0.1:80", "4", "0", "7", "0"));
+  }
+
   @Test
   void pipelinedRequestsAreAnsweredInOrder() throws Exception {
     String request =
