Orders and reports to engines use connections of their own

Report of other operators: a faulty runner wrote an earlier refusal once more on a kept connection, and a request that had run was reported as not run, or ran twice. For orders it can: they carry no id and shared connections with requests, so the copy was taken for the order's answer, e.g. a copy of an earlier success as the proof that a host had left its group (rules TWO, PARTIAL). Change: orders and reports open a new connection each.

--- a/limpet-entry/src/main/java/org/limpetring/entry/net/SimpleHttpClient.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/net/SimpleHttpClient.java
@@ -31,8 +31,20 @@
     this.connections = connections;
   }
 
+  /** Which connection a call uses. */
+  public enum Connection {
+    /** An idle one that other requests have used, if there is any. */
+    REUSED,
+    /**
+     * A new one. Small calls carry no id that the response would repeat, so on a reused connection
+     * a faulty peer's second copy of an earlier response is taken for this one.
+     */
+    FRESH
+  }
+
   /** Sends a request; {@code done} receives the result exactly once. */
   public void call(
+      Connection connection,
       InetSocketAddress address,
       HttpMethod method,
       String path,
@@ -52,7 +64,9 @@
     addHeaders.accept(request.headers());
     ResponseCollector collector = new ResponseCollector(done);
     int connectTimeoutMs = (int) Math.min(timeoutMs, CONNECT_TIMEOUT_MS);
-    Exchange exchange = connections.send(address, request, false, connectTimeoutMs, collector);
+    Exchange exchange =
+        connections.send(
+            address, request, connection == Connection.FRESH, connectTimeoutMs, collector);
     collector.startTimer(exchange, timeoutMs);
   }
 
