A resumed run sends nothing into the stream that does not continue it

Report of other operators: a stream had begun and broke off, the next runner answered with an error, and its text or head got into the stream. Errors by status, refusals, answers without a seal, resets and breaks inside an event were handled before. Change: in a resumed run every event must have an id after the last one; EventSplitter withholds the first that has not and all after it, and the run fails as garbled, so that the stream is resumed elsewhere or its connection closed.

--- a/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
@@ -319,9 +319,16 @@
       onFailure(SendFailure.GARBLED);
       return;
     }
-    if (completeEvents == null) {
-      return;
+    if (completeEvents != null) {
+      forwardEvents(head, completeEvents);
+    }
+    if (events.isOutOfOrder()) {
+      cancelExchange();
+      onFailure(SendFailure.GARBLED);
     }
+  }
+
+  private void forwardEvents(ResponseHead head, ByteBuf completeEvents) {
     long nowMs = core.nowMs();
     markFirstEvent(nowMs);
     if (eventsInRun++ > 0) {
@@ -500,7 +507,7 @@
   private void retryOrFail(String reason, ResultCode code) {
     responseBody.clear();
     if (events != null) {
-      events.dropPartial();
+      events.resume();
     }
     boolean isAllowed =
         RetryRule.mayRetry(route, runState, runCount)
--- a/limpet-entry/src/main/java/org/limpetring/entry/net/EventSplitter.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/net/EventSplitter.java
@@ -20,6 +20,8 @@
   private @Nullable String lastId;
   private @Nullable String pendingId;
   private long eventCount;
+  private boolean isResumed;
+  private boolean isOutOfOrder;
 
   /** Creates an empty splitter, which must be released. */
   public EventSplitter(ByteBufAllocator allocator) {
@@ -41,6 +43,21 @@
     return !pending.isReadable();
   }
 
+  /** Another run of the request continues the stream after its last event. */
+  public void resume() {
+    dropPartial();
+    isResumed = true;
+    isOutOfOrder = false;
+  }
+
+  /**
+   * Whether a resumed run has sent what does not continue the stream: an event without an id, or
+   * one that is not after the last. That event and all later ones are withheld.
+   */
+  public boolean isOutOfOrder() {
+    return isOutOfOrder;
+  }
+
   /** Discards an incomplete event before another run resumes the stream. */
   public void dropPartial() {
     pending.clear();
@@ -55,6 +72,9 @@
    * @throws IllegalStateException if an event exceeds the size limit
    */
   public @Nullable ByteBuf feed(ByteBuf data) {
+    if (isOutOfOrder) {
+      return null;
+    }
     pending.writeBytes(data);
     int end = -1;
     int limit = pending.writerIndex();
@@ -68,6 +88,10 @@
       }
       int length = newline - start;
       if (length == 0 || (length == 1 && pending.getByte(start) == '\r')) {
+        if (isResumed && !isAfterLast(pendingId)) {
+          isOutOfOrder = true;
+          break;
+        }
         end = newline + 1;
         eventCount++;
         lastId = pendingId == null ? lastId : pendingId;
@@ -93,6 +117,17 @@
     return events;
   }
 
+  private boolean isAfterLast(@Nullable String id) {
+    if (id == null || lastId == null) {
+      return id != null;
+    }
+    try {
+      return Long.parseLong(id) > Long.parseLong(lastId);
+    } catch (NumberFormatException notNumeric) {
+      return !id.equals(lastId);
+    }
+  }
+
   private void readLine(int start, int length) {
     boolean isId =
         length > 3
--- a/limpet-entry/src/test/java/org/limpetring/entry/net/EventSplitterTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/net/EventSplitterTest.java
@@ -50,6 +50,21 @@
     assertThat(fresh.isAtBoundary()).isTrue();
   }
 
+  /** After a break, only events that go on after the last one belong to the stream. */
+  @Test
+  void resumedRunMustContinueAfterLastEvent() {
+    feed("id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    splitter.resume();
+    assertThat(feed("id: 3\ndata: c\n\nHTTP/1.1 500 Failed\r\n\r\n"))
+        .isEqualTo("id: 3\ndata: c\n\n");
+    assertThat(splitter.isOutOfOrder()).isTrue();
+    splitter.resume();
+    assertThat(splitter.isOutOfOrder()).isFalse();
+    assertThat(feed("id: 3\ndata: c\n\n")).isEmpty();
+    assertThat(splitter.isOutOfOrder()).isTrue();
+    assertThat(splitter.lastId()).isEqualTo("3");
+  }
+
   @Test
   void withholdsIncompleteEventAndIgnoresItsId() {
     assertThat(feed("id: 1\ndata: a\n\nid: 2\ndata: b")).isEqualTo("id: 1\ndata: a\n\n");
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/StandinUpstream.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/StandinUpstream.java
@@ -12,8 +12,10 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Queue;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -37,7 +39,17 @@
     OTHER_REQUESTS_RESPONSE_FIRST,
     RESPONSE_WITHOUT_ID_FIRST,
     ENDLESS_BODY,
-    SHORT_BODY
+    SHORT_BODY,
+    STATUS_500,
+    /** A success that is no event stream, with an empty line in it. */
+    TEXT_200,
+    /** A stream that holds the head of another response. */
+    HEAD_IN_STREAM,
+    /** A stream that ignores the last event id and starts again. */
+    FIRST_EVENTS_AGAIN,
+    /** The refusal of the request before, written again on its connection. */
+    EARLIER_REFUSAL_FIRST,
+    EARLIER_REFUSAL_WITHOUT_ID_FIRST
   }
 
   /** Complete event stream of an engine. */
@@ -64,6 +76,7 @@
   private volatile ServerSocket socket;
   private volatile boolean isClosed;
   private final AtomicReference<Fault> fault;
+  private final Queue<Fault> laterFaults = new ConcurrentLinkedQueue<>();
   private final IntUnaryOperator registeredPort;
   private final Set<Socket> connections = ConcurrentHashMap.newKeySet();
   private volatile String deadlyPart = "";
@@ -119,6 +132,12 @@
     thread.start();
   }
 
+  /** Sets the faults of the requests after the next faulty one. */
+  void setLaterFaults(List<Fault> faults) {
+    laterFaults.clear();
+    laterFaults.addAll(faults);
+  }
+
   /** Sets a prompt part that crashes this engine when it begins to answer a request with it. */
   void setDeadlyPart(String part) {
     deadlyPart = part;
@@ -231,7 +250,7 @@
       return true;
     }
     received.add(request);
-    Fault injected = fault.getAndSet(Fault.NONE);
+    Fault injected = takeFault();
     if (injected != Fault.NOT_EXECUTED) {
       executed.add(request);
     }
@@ -269,6 +288,25 @@
           write(out, block);
         }
       }
+      case STATUS_500 -> {
+        send(out, 500, echo + seal, "the engine failed\n\nsorry");
+        return true;
+      }
+      case TEXT_200 -> {
+        send(out, 200, echo + seal, "no such model\n\ntry another\n\n");
+        return true;
+      }
+      case HEAD_IN_STREAM -> {
+        write(out, "HTTP/1.1 200 OK\r\n" + echo + seal + "Transfer-Encoding: chunked\r\n\r\n");
+        writeChunk(out, "HTTP/1.1 500 Failed\r\nContent-Length: 4\r\n\r\noops");
+        write(out, "0\r\n\r\n");
+        return true;
+      }
+      case EARLIER_REFUSAL_FIRST ->
+          send(
+              out, 503, "X-Limpetring-Request-Id: earlier\r\nX-Limpetring-Not-Executed: 1\r\n", "");
+      case EARLIER_REFUSAL_WITHOUT_ID_FIRST ->
+          send(out, 503, "X-Limpetring-Not-Executed: 1\r\n", "");
       case RESPONSE_WITHOUT_ID_FIRST -> send(out, 200, seal, "not yours");
       default -> {}
     }
@@ -279,6 +317,15 @@
     return stream(request, echo + seal, injected, out);
   }
 
+  private Fault takeFault() {
+    Fault next = fault.getAndSet(Fault.NONE);
+    if (next != Fault.NONE) {
+      return next;
+    }
+    Fault later = laterFaults.poll();
+    return later == null ? Fault.NONE : later;
+  }
+
   private boolean hasDeadlyPart(Map<String, String> request) throws IOException {
     String prefix = request.getOrDefault("x-limpetring-prompt-prefix", "");
     if (deadlyPart.isEmpty() || !prefix.contains(deadlyPart)) {
@@ -296,7 +343,8 @@
   private boolean stream(
       Map<String, String> request, String headers, Fault injected, OutputStream out)
       throws IOException {
-    int first = Integer.parseInt(request.getOrDefault("last-event-id", "0")) + 1;
+    String last = injected == Fault.FIRST_EVENTS_AGAIN ? "0" : request.get("last-event-id");
+    int first = last == null ? 1 : Integer.parseInt(last) + 1;
     write(
         out,
         "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
@@ -26,6 +26,7 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
 import org.limpetring.base.Clock;
 import org.limpetring.entry.DecisionLog;
@@ -208,6 +209,63 @@
     await().atMost(Duration.ofSeconds(2)).until(() -> send("/r/x", "k").statusCode() == 200);
   }
 
+  /** A stream has begun and breaks; what the next engine answers must not get into it. */
+  @ParameterizedTest
+  @EnumSource(
+      names = {
+        "STATUS_500",
+        "TEXT_200",
+        "HEAD_IN_STREAM",
+        "FIRST_EVENTS_AGAIN",
+        "NOT_EXECUTED",
+        "NO_SEAL",
+        "RESET_AFTER_READING",
+        "BREAK_INSIDE_AN_EVENT"
+      })
+  void errorOfNextUpstreamGetsIntoBrokenStream(Fault next) throws Exception {
+    for (StandinUpstream engine : engines) {
+      engine.setLaterFaults(List.of(next));
+    }
+    engineFault.set(Fault.BREAK_AFTER_ONE_EVENT);
+    String response = sendRaw("/s/x");
+    String body = response.substring(response.indexOf("\r\n\r\n") + 4);
+    boolean isComplete = body.endsWith("0\r\n\r\n");
+    String events = body.replaceAll("(?m)^[0-9a-f]+\r\n|^\r\n", "").replace("\r\n", "");
+    assertThat(events).startsWith("id: 1\ndata: e1\n\n");
+    assertThat(StandinUpstream.COMPLETE_STREAM).startsWith(events);
+    assertThat(isComplete).isEqualTo(events.equals(StandinUpstream.COMPLETE_STREAM));
+  }
+
+  /** Sends a request on a connection of its own; returns what arrives until that is closed. */
+  private String sendRaw(String path) throws IOException {
+    try (Socket socket =
+        new Socket(InetAddress.getLoopbackAddress(), settings.callerAddress().getPort())) {
+      socket.setSoTimeout(5_000);
+      String request =
+          "POST "
+              + path
+              + " HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Limpetring-Request-Id: raw"
+              + requestCount++
+              + "\r\nX-Limpetring-Request-Deadline: 3000\r\nX-Limpetring-Key: k\r\n"
+              + "X-Limpetring-Model: m\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
+      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      return new String(socket.getInputStream().readAllBytes(), StandardCharsets.ISO_8859_1);
+    }
+  }
+
+  /** A refusal that arrives again on a kept connection is none of the request in progress. */
+  @ParameterizedTest
+  @EnumSource(names = {"EARLIER_REFUSAL_FIRST", "EARLIER_REFUSAL_WITHOUT_ID_FIRST"})
+  void earlierRefusalIsTakenForTheNextRequestsAnswer(Fault copy) throws Exception {
+    plainFault.set(Fault.NOT_EXECUTED);
+    send("/r/x", "k");
+    TimeUnit.MILLISECONDS.sleep(100); // an upstream that refused gets nothing for a moment
+    plain.executed.clear();
+    plainFault.set(copy);
+    assertThat(send("/r/x", "k").body()).isEqualTo("answer of p-1");
+    assertThat(plain.executed).hasSize(1);
+  }
+
   /** Another writer leaves an entry that a parser's limits or a field's range refuse. */
   @ParameterizedTest
   @MethodSource("oddEntries")
