Announcements of crash evidence are bounded in size and rate

Cause: evidence could exceed a datagram, since callers choose number and length of prompt parts; the planner's announcements would then not be sent at all, and it would count as lost. News was sent with each tick, up to five times the ordinary rate with 95 daemons. Change: at most 16 parts of 32 characters count for a request, 32 suspects and 64 answered traits are announced, and news at most doubles the rate. Measured: announcementFitsIntoADatagram, newsOfThePlannerAtMostDoublesItsDatagrams.

--- a/limpet-entry/src/main/java/org/limpetring/entry/peer/AnnouncementSchedule.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/peer/AnnouncementSchedule.java
@@ -46,6 +46,7 @@
   /** Time after the start in which a daemon announces itself to others that may not know it yet. */
   private static final long INTRODUCTION_MS = 3_000;
 
+  private boolean isExpedited;
   private long lastSentMs = Long.MIN_VALUE / 2;
   private long firstCallMs = Long.MAX_VALUE;
 
@@ -65,9 +66,9 @@
     return MISSED_INTERVALS * intervalMs(knownDaemons) + JITTER_MARGIN_MS;
   }
 
-  /** Makes the next announcement due at once. */
+  /** Makes the next announcement due after half of its interval, since it contains news. */
   public void expedite() {
-    lastSentMs = Long.MIN_VALUE / 2;
+    isExpedited = true;
   }
 
   /** Returns the recipients of an announcement that is due now, or NONE, and records it as sent. */
@@ -76,9 +77,10 @@
     boolean isIntroduced = nowMs - firstCallMs >= INTRODUCTION_MS;
     boolean isToPlanner = !isPlanner && isPlannerAlive && isIntroduced;
     long intervalMs = isPlanner || isToPlanner ? intervalMs(knownDaemons) : MAX_INTERVAL_MS;
-    if (nowMs - lastSentMs < intervalMs) {
+    if (nowMs - lastSentMs < (isExpedited ? intervalMs / 2 : intervalMs)) {
       return Recipients.NONE;
     }
+    isExpedited = false;
     lastSentMs = nowMs;
     if (isPlanner) {
       return Recipients.ALL;
--- a/limpet-entry/src/main/java/org/limpetring/entry/poison/PoisonDetector.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/poison/PoisonDetector.java
@@ -1,6 +1,7 @@
 package org.limpetring.entry.poison;
 
 import java.util.ArrayList;
+import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Iterator;
@@ -48,6 +49,11 @@
   private static final long ANNOUNCED_MS = 3_000;
 
   private static final int MAX_SUSPECTS = 64;
+
+  /** Suspects and answered traits in one announcement, which has to fit into a datagram. */
+  private static final int MAX_ANNOUNCED_SUSPECTS = 32;
+
+  private static final int MAX_ANNOUNCED_ANSWERS = 64;
   private static final int MAX_ANSWERED = 512;
   private static final int MAX_QUARANTINED = 64;
 
@@ -341,19 +347,25 @@
     if (disputedMs.isEmpty() && lastCrashMs.isEmpty()) {
       return CrashEvidence.NONE;
     }
-    List<CrashEvidence.Interruption> interruptions = new ArrayList<>();
-    for (Suspect suspect : suspects.values()) {
-      long ageMs = nowMs - suspect.atMs;
-      if (ageMs < ANNOUNCED_MS && (isRelay || suspect.isOwn)) {
-        interruptions.add(
-            new CrashEvidence.Interruption(
-                suspect.key.incarnation(), suspect.key.traits(), ageMs, suspect.isCrash));
-      }
-    }
+    List<CrashEvidence.Interruption> interruptions =
+        suspects.values().stream()
+            .filter(suspect -> nowMs - suspect.atMs < ANNOUNCED_MS && (isRelay || suspect.isOwn))
+            .sorted(Comparator.comparingLong((Suspect suspect) -> suspect.atMs).reversed())
+            .limit(MAX_ANNOUNCED_SUSPECTS)
+            .map(
+                suspect ->
+                    new CrashEvidence.Interruption(
+                        suspect.key.incarnation(),
+                        suspect.key.traits(),
+                        nowMs - suspect.atMs,
+                        suspect.isCrash))
+            .toList();
     List<CrashEvidence.Sighting> answered = new ArrayList<>();
     for (String trait : disputedMs.keySet()) {
       Answer answer = answers.get(trait);
-      if (answer != null && (isRelay || answer.isOwn())) {
+      if (answer != null
+          && (isRelay || answer.isOwn())
+          && answered.size() < MAX_ANNOUNCED_ANSWERS) {
         answered.add(new CrashEvidence.Sighting(trait, nowMs - answer.atMs()));
       }
     }
--- a/limpet-entry/src/main/java/org/limpetring/entry/poison/RequestTraits.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/poison/RequestTraits.java
@@ -13,12 +13,13 @@
  *
  * <p>These are the parts of its prompt but for the last one, which is its own, and a fingerprint of
  * the whole request, which only its repeats share. Traits are scoped to the model or service, since
- * a part may crash one engine and be answered by another. Callers choose the ids of the parts, so
- * their length is limited.
+ * a part may crash one engine and be answered by another. Callers choose the parts and their ids,
+ * so number and length are limited: evidence must fit into a datagram.
  */
 public final class RequestTraits {
 
-  private static final int MAX_ID_LENGTH = 48;
+  private static final int MAX_PARTS = 16;
+  private static final int MAX_ID_LENGTH = 32;
 
   private RequestTraits() {}
 
@@ -37,7 +38,7 @@
       String target,
       ByteBuffer body) {
     List<String> traits = new ArrayList<>(promptParts.size() + 1);
-    for (int i = 0; i + 1 < promptParts.size(); i++) {
+    for (int i = 0; i + 1 < promptParts.size() && i < MAX_PARTS; i++) {
       traits.add(TraitKind.PROMPT_PART.trait(scope, shortened(promptParts.get(i))));
     }
     TraitKind whole = promptParts.isEmpty() ? TraitKind.PLAIN_REQUEST : TraitKind.PROMPT;
--- a/limpet-entry/src/test/java/org/limpetring/entry/peer/AnnouncementScheduleTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/peer/AnnouncementScheduleTest.java
@@ -34,6 +34,19 @@
     assertThat(datagramsPerSecond(new AnnouncementSchedule(), true, true, 330)).isAtMost(4 * 329);
   }
 
+  /** Crashes in quick succession make each tick bring news. */
+  @Test
+  void newsOfThePlannerAtMostDoublesItsDatagrams() {
+    AnnouncementSchedule schedule = new AnnouncementSchedule();
+    int announcements = 0;
+    for (long nowMs = 0; nowMs < 1_000; nowMs += 50) {
+      schedule.expedite();
+      announcements += schedule.next(true, true, 95, nowMs) == Recipients.ALL ? 1 : 0;
+    }
+    assertThat(announcements).isAtLeast(5);
+    assertThat(announcements).isAtMost(9);
+  }
+
   /** Other daemons may not have listed it yet and would not count it as alive. */
   @Test
   void startedDaemonAnnouncesItselfToOthers() {
--- a/limpet-entry/src/test/java/org/limpetring/entry/poison/PoisonDetectorTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/poison/PoisonDetectorTest.java
@@ -3,6 +3,8 @@
 import static com.google.common.truth.Truth.assertThat;
 import static com.google.common.truth.Truth.assertWithMessage;
 
+import java.io.IOException;
+import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Collections;
 import java.util.List;
@@ -11,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import org.limpetring.entry.peer.PeerState;
 
 final class PoisonDetectorTest {
 
@@ -149,6 +152,39 @@
     assertThat(detector.mayRetry(request("sound", SHARED))).isTrue();
   }
 
+  /** Callers with the longest prompts, at every head of a large fleet. */
+  @Test
+  void announcementFitsIntoADatagram() throws IOException {
+    for (int i = 0; i < 300; i++) {
+      List<String> parts = new ArrayList<>();
+      for (int part = 0; part < 40; part++) {
+        parts.add(i + "-" + part + "x".repeat(200));
+      }
+      List<String> traits =
+          RequestTraits.of("model-name", parts, "team", "POST /x", ByteBuffer.allocate(0));
+      detector.onInterrupted("upstream-" + i + "@1792178438634", traits, nowMs);
+      detector.onAnswering(traits.subList(0, 3), nowMs + 1);
+    }
+    detector.review(nowMs);
+    PeerState state =
+        new PeerState(
+            "d",
+            "a",
+            1,
+            1,
+            true,
+            false,
+            false,
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(),
+            List.of(),
+            detector.evidence(true, nowMs + 2),
+            null);
+    assertThat(state.encode().length).isLessThan(50_000);
+  }
+
   @Test
   void quarantineEndsAndOneCrashRenewsIt() {
     for (int i = 0; i < 3; i++) {
