Daemons no longer renew each other's crash evidence

Cause: evidence travels as ages, and each announcement adds its delay, so what came back looked newer by some ms and was taken over as new. For the whole quarantine the planner then announced at twice its rate, and the quarantine's end moved on. Change: times that differ by less than 250 ms are of the same event. PoisonGuard becomes Quarantine: limpetd has a class of the first name.

--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
@@ -73,7 +73,7 @@
   private final SplittableRandom random = new SplittableRandom();
   private final BufferBudget responseBuffers =
       new BufferBudget(Runtime.getRuntime().maxMemory() / RESPONSE_BUFFERS_HEAP_DIVISOR);
-  private final PoisonGuard poison;
+  private final Quarantine quarantine;
   private final FleetDemand fleetDemand;
   private final CallerPatience callerPatience = new CallerPatience();
   private final Map<String, WaitQueue<RequestFlow>> queues = new HashMap<>();
@@ -104,7 +104,7 @@
     this.view = view;
     this.peers = peers;
     this.index = new EndpointIndex(view);
-    this.poison = new PoisonGuard(clock, log, metrics);
+    this.quarantine = new Quarantine(clock, log, metrics);
     this.fleetDemand = new FleetDemand(peers, clock, random);
     this.coldRateLimiter = new ColdRateLimiter(settings.daemonName());
     EntrySettings.Bounds bounds = settings.bounds();
@@ -136,8 +136,8 @@
     return format;
   }
 
-  PoisonGuard poison() {
-    return poison;
+  Quarantine quarantine() {
+    return quarantine;
   }
 
   FleetDemand fleetDemand() {
@@ -212,7 +212,7 @@
   void onGroupEnding(String endpointKey, String reason) {
     Endpoint endpoint = index.get(endpointKey);
     if (endpoint != null) {
-      poison.onUpstreamLost(endpoint.upstream().incarnation());
+      quarantine.onUpstreamLost(endpoint.upstream().incarnation());
     }
     if (index.markEnded(endpointKey)) {
       failOver(endpointKey, reason);
@@ -463,7 +463,7 @@
 
   void onSendFailure(Endpoint endpoint, SendFailure failure) {
     if (failure == SendFailure.REFUSED) {
-      poison.onUpstreamLost(endpoint.upstream().incarnation());
+      quarantine.onUpstreamLost(endpoint.upstream().incarnation());
     }
     boolean isUnreachable =
         failure == SendFailure.REFUSED || failure == SendFailure.CONNECT_TIMEOUT;
@@ -521,7 +521,7 @@
     coldRateLimiter.forgetBefore(nowMs() - COLD_SHARE_TTL_MS);
     callerPatience.forgetBefore(nowMs() - CALLER_PATIENCE_TTL_MS);
     index.forgetEnded();
-    poison.sweep();
+    quarantine.sweep();
   }
 
   /** Loads of all endpoints that have requests of this daemon or are suspected. */
--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
@@ -282,7 +282,7 @@
     long nowMs = clock.nowMs();
     peers.onReceived(state, from, nowMs);
     role.onPeerState(state, nowMs);
-    core.poison().merge(state.crashEvidence(), role.isPlanner());
+    core.quarantine().merge(state.crashEvidence(), role.isPlanner());
     List<KindWatcher<?>> watchers = watchers();
     for (int i = 0; i < Math.min(watchers.size(), state.revisions().size()); i++) {
       watchers.get(i).onPeerRevision(state.revisions().get(i));
@@ -321,7 +321,7 @@
       directory.list();
     }
     wasPlanner = isPlanner;
-    if (core.poison().takeNews()) {
+    if (core.quarantine().takeNews()) {
       gossipSchedule.expedite();
     }
     AnnouncementSchedule.Recipients recipients =
@@ -366,7 +366,7 @@
         opened,
         ended,
         core.fleetDemand().rates(),
-        core.poison().evidence(role.isPlanner() || !isPlannerReachable(clock.nowMs())),
+        core.quarantine().evidence(role.isPlanner() || !isPlannerReachable(clock.nowMs())),
         role.isPlanner()
             ? peers.fleetLoad(loads, core.fleetDemand().rates(), clock.nowMs())
             : null);
--- a/limpet-entry/src/main/java/org/limpetring/entry/PoisonGuard.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/Quarantine.java
@@ -7,8 +7,11 @@
 import org.limpetring.entry.poison.CrashEvidence;
 import org.limpetring.entry.poison.PoisonDetector;
 
-/** Feeds the poison detector, logs what it finds, and tells when peers must hear of it at once. */
-final class PoisonGuard {
+/**
+ * Quarantine of what crashes upstreams: feeds {@link PoisonDetector}, logs its findings, and tells
+ * when peers must hear of them at once.
+ */
+final class Quarantine {
 
   private final PoisonDetector detector = new PoisonDetector();
   private final Clock clock;
@@ -16,7 +19,7 @@
   private final EntryMetrics metrics;
   private boolean hasNews;
 
-  PoisonGuard(Clock clock, DecisionLog log, EntryMetrics metrics) {
+  Quarantine(Clock clock, DecisionLog log, EntryMetrics metrics) {
     this.clock = clock;
     this.log = log;
     this.metrics = metrics;
@@ -67,12 +70,12 @@
   }
 
   /** Remaining quarantine of a request with these traits; 0 if it may be sent. */
-  long quarantineLeftMs(List<String> traits) {
+  long leftMs(List<String> traits) {
     return detector.quarantineLeftMs(traits, clock.nowMs());
   }
 
   /** Whether no request needs to be checked. */
-  boolean isQuarantineEmpty() {
+  boolean isEmpty() {
     return detector.isQuarantineEmpty();
   }
 
--- a/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
@@ -182,8 +182,8 @@
   }
 
   private boolean isQuarantined() {
-    PoisonGuard poison = core.poison();
-    long leftMs = poison.isQuarantineEmpty() ? 0 : poison.quarantineLeftMs(traits());
+    Quarantine quarantine = core.quarantine();
+    long leftMs = quarantine.isEmpty() ? 0 : quarantine.leftMs(traits());
     if (leftMs > 0) {
       reject(ResultCode.QUARANTINED, leftMs, "quarantined trait");
     }
@@ -472,14 +472,14 @@
     requestLog.interrupted(from, eventsInRun, nowMs - sentMs, core.coldLeftMs(from));
     core.metrics().interrupted(hasResponseBegun);
     if (!hasResponseBegun) {
-      core.poison().onInterrupted(from, traits());
+      core.quarantine().onInterrupted(from, traits());
     }
   }
 
   /** The upstream has begun to answer, so this request is not what crashes upstreams. */
   private void onResponseBegun() {
     hasResponseBegun = true;
-    core.poison().onAnswering(traits());
+    core.quarantine().onAnswering(traits());
   }
 
   /** The group that runs the request is lost; moves the request to another if the rules allow. */
@@ -512,7 +512,7 @@
     boolean isAllowed =
         RetryRule.mayRetry(route, runState, runCount)
             && core.nowMs() < abandonAtMs
-            && (hasResponseBegun || runCount == 0 || core.poison().mayRetry(traits()));
+            && (hasResponseBegun || runCount == 0 || core.quarantine().mayRetry(traits()));
     if (isAllowed && core.retryBudget().tryAcquire(service, core.daemonCount(), core.nowMs())) {
       core.metrics().retry(reason);
       logRetry(reason);
--- a/limpet-entry/src/main/java/org/limpetring/entry/poison/PoisonDetector.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/poison/PoisonDetector.java
@@ -48,6 +48,12 @@
   /** Age up to which evidence is announced; several intervals of announcements. */
   private static final long ANNOUNCED_MS = 3_000;
 
+  /**
+   * Difference below which two times are of the same event. Ages grow by the delay of each
+   * announcement, so without it daemons would renew each other's evidence.
+   */
+  private static final long DELAY_TOLERANCE_MS = 250;
+
   private static final int MAX_SUSPECTS = 64;
 
   /** Suspects and answered traits in one announcement, which has to fit into a datagram. */
@@ -146,7 +152,7 @@
     for (CrashEvidence.Sighting sighting : evidence.answered()) {
       long atMs = nowMs - sighting.ageMs();
       Answer known = answers.get(sighting.trait());
-      if (known == null || known.atMs() < atMs) {
+      if (known == null || known.atMs() + DELAY_TOLERANCE_MS < atMs) {
         answers.put(sighting.trait(), new Answer(atMs, false));
         isChanged = true;
       }
@@ -159,7 +165,8 @@
       dispute(List.of(sighting.trait()), nowMs);
       long atMs = nowMs - sighting.ageMs();
       Long known = lastCrashMs.get(sighting.trait());
-      if (!isAnsweredSince(sighting.trait(), atMs) && (known == null || known < atMs)) {
+      if (!isAnsweredSince(sighting.trait(), atMs)
+          && (known == null || known + DELAY_TOLERANCE_MS < atMs)) {
         lastCrashMs.put(sighting.trait(), atMs);
         isChanged = true;
       }
--- a/limpet-entry/src/test/java/org/limpetring/entry/poison/PoisonDetectorTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/poison/PoisonDetectorTest.java
@@ -152,6 +152,30 @@
     assertThat(detector.mayRetry(request("sound", SHARED))).isTrue();
   }
 
+  /** Each announcement arrives some ms after its ages were taken. */
+  @Test
+  void daemonsDoNotRenewEachOthersEvidence() {
+    PoisonDetector peer = new PoisonDetector();
+    for (int i = 0; i < 3; i++) {
+      crash("u" + i, request("r" + i, SHARED, DEADLY));
+      nowMs += 400;
+    }
+    detector.onAnswering(request("sound", SHARED), nowMs);
+    detector.review(nowMs);
+    long endMs = nowMs + PoisonDetector.QUARANTINE_MS;
+    int newsCount = 0;
+    while (nowMs < endMs) {
+      newsCount += peer.merge(detector.evidence(true, nowMs - 5), nowMs) ? 1 : 0;
+      peer.review(nowMs);
+      newsCount += detector.merge(peer.evidence(true, nowMs - 5), nowMs) ? 1 : 0;
+      detector.review(nowMs);
+      nowMs += 150;
+    }
+    assertThat(newsCount).isLessThan(10);
+    assertThat(peer.quarantineLeftMs(request("x", DEADLY), nowMs)).isEqualTo(0);
+    assertThat(detector.quarantineLeftMs(request("x", DEADLY), nowMs)).isEqualTo(0);
+  }
+
   /** Callers with the longest prompts, at every head of a large fleet. */
   @Test
   void announcementFitsIntoADatagram() throws IOException {
