--- a/limpet-entryd/src/test/java/org/limpetring/entryd/TaintedPromptPartTest.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/TaintedPromptPartTest.java
@@ -3,12 +3,7 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.awaitility.Awaitility.await;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
-import java.net.DatagramSocket;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -23,12 +18,8 @@
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.limpetring.base.Clock;
-import org.limpetring.entry.DecisionLog;
-import org.limpetring.entry.EntryDaemon;
 import org.limpetring.entry.model.EntrySettings;
 import org.limpetring.entryd.StandinUpstream.Fault;
-import org.limpetring.platform.HttpPlatform;
 
 /** Two daemons in front of engines that one prompt part crashes, whatever else a request holds. */
 final class TaintedPromptPartTest {
@@ -61,7 +52,7 @@
       engines.add(engine);
     }
     for (String name : List.of("d1", "d2")) {
-      daemons.add(startDaemon(name));
+      daemons.add(EmbeddedDaemon.start(name, store));
     }
     for (EntrySettings daemon : daemons) {
       await()
@@ -71,26 +62,6 @@
     }
   }
 
-  private EntrySettings startDaemon(String name) throws IOException {
-    EntrySettings settings =
-        new EntrySettings(
-            name,
-            "a",
-            List.of("a"),
-            freeAddress(),
-            freeAddress(),
-            freeDatagramAddress(),
-            freeAddress(),
-            store.address(),
-            true,
-            1_200,
-            1_000,
-            new EntrySettings.Bounds(2_000, 8_000, 5_000, 0.2, 136, 10_000));
-    DecisionLog log = new DecisionLog(new ByteArrayOutputStream(), Clock.wall());
-    new EntryDaemon(settings, new HttpPlatform(store.address()), log).start();
-    return settings;
-  }
-
   @AfterEach
   void stop() throws IOException {
     for (StandinUpstream engine : engines) {
@@ -99,18 +70,6 @@
     store.close();
   }
 
-  private static InetSocketAddress freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return (InetSocketAddress) socket.getLocalSocketAddress();
-    }
-  }
-
-  private static InetSocketAddress freeDatagramAddress() throws IOException {
-    try (DatagramSocket socket = new DatagramSocket(0, InetAddress.getLoopbackAddress())) {
-      return (InetSocketAddress) socket.getLocalSocketAddress();
-    }
-  }
-
   private int sendSound(EntrySettings daemon) throws IOException, InterruptedException {
     return send(daemon, SHARED_PART + "own" + requestCount + ":20");
   }
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
@@ -3,11 +3,9 @@
 import static com.google.common.truth.Truth.assertThat;
 import static org.awaitility.Awaitility.await;
 
-import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.URI;
 import java.net.http.HttpClient;
@@ -28,12 +26,8 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import org.junit.jupiter.params.provider.MethodSource;
-import org.limpetring.base.Clock;
-import org.limpetring.entry.DecisionLog;
-import org.limpetring.entry.EntryDaemon;
 import org.limpetring.entry.model.EntrySettings;
 import org.limpetring.entryd.StandinUpstream.Fault;
-import org.limpetring.platform.HttpPlatform;
 
 /** End-to-end test in one process: callers, daemon, store, engines and a plain service. */
 final class WholePathTest {
@@ -57,22 +51,7 @@
     }
     plain = new StandinUpstream("p-1", "plain", false, store, plainFault);
     store.put("servers", "odd", "{\"service\":5}");
-    settings =
-        new EntrySettings(
-            "d1",
-            "a",
-            List.of("a"),
-            freeAddress(),
-            freeAddress(),
-            freeAddress(),
-            freeAddress(),
-            store.address(),
-            true,
-            1_200,
-            1_000,
-            new EntrySettings.Bounds(2_000, 8_000, 5_000, 0.2, 136, 10_000));
-    DecisionLog log = new DecisionLog(new ByteArrayOutputStream(), Clock.wall());
-    new EntryDaemon(settings, new HttpPlatform(store.address()), log).start();
+    settings = EmbeddedDaemon.start("d1", store);
     await()
         .atMost(Duration.ofSeconds(20))
         .ignoreExceptions() // connections fail until the daemon listens
@@ -88,12 +67,6 @@
     store.close();
   }
 
-  private static InetSocketAddress freeAddress() throws IOException {
-    try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-      return new InetSocketAddress(InetAddress.getLoopbackAddress(), socket.getLocalPort());
-    }
-  }
-
   private HttpResponse<String> send(String path, String key)
       throws IOException, InterruptedException {
     InetSocketAddress address = settings.callerAddress();
