--- a/review/standins/Store.java
+++ b/review/Store.java
@@ -10,7 +10,6 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.concurrent.Executors;
-import java.util.function.BiConsumer;
 
 /**
  * Stand-in for the platform's metadata store (PROTOCOL.md, "The platform's metadata store").
@@ -37,12 +36,6 @@
     }
   }
 
-  /** Called with the kind and the path's query before each list page is read. */
-  volatile BiConsumer<String, Map<String, String>> beforeList = (kind, query) -> {};
-
-  /** Called for each write that was carried out, with the kind and the new spec. */
-  volatile BiConsumer<String, Object> onWrite = (kind, spec) -> {};
-
   /** String in specs that reads return as bytes that are no UTF-8 text, as another writer left them. */
   static final String UNREADABLE = "unreadable-bytes";
 
@@ -57,7 +50,6 @@
   private final TreeMap<String, Stored> objects = new TreeMap<>();
   private final List<Stored> history = new ArrayList<>();
   private long revision = 1;
-  private long historyGoneBelow;
 
   Store() throws IOException {
     server = HttpServer.create(new InetSocketAddress(InetAddress.getByName("127.0.0.1"), 0), 256);
@@ -97,18 +89,6 @@
     }
   }
 
-  /** The spec of an object, or null. */
-  synchronized Object spec(String kind, String name) {
-    Stored stored = objects.get(kind + '/' + name);
-    return stored == null ? null : stored.spec();
-  }
-
-  /** Drops the history: watches from earlier revisions, waiting ones too, get 410. */
-  synchronized void dropHistory() {
-    historyGoneBelow = revision;
-    notifyAll();
-  }
-
   private static long nowMs() {
     return System.nanoTime() / 1_000_000;
   }
@@ -151,7 +131,6 @@
     } else if (query.containsKey("watch")) {
       watch(exchange, path, Long.parseLong(query.get("watch")), Long.parseLong(query.getOrDefault("wait_ms", "0")), isStale);
     } else {
-      beforeList.accept(path, query);
       list(exchange, path, query.getOrDefault("after", ""), isStale);
     }
   }
@@ -193,14 +172,8 @@
       throws IOException, InterruptedException {
     long deadlineMs = nowMs() + waitMs;
     String body = null;
-    int status = 200;
     synchronized (this) {
       while (body == null) {
-        if (after < historyGoneBelow) {
-          status = 410;
-          body = "{}";
-          break;
-        }
         long untilMs = isStale ? nowMs() - staleMs : Long.MAX_VALUE;
         long asOf = after;
         StringBuilder events = new StringBuilder();
@@ -223,7 +196,7 @@
         }
       }
     }
-    send(exchange, status, body);
+    send(exchange, 200, body);
   }
 
   private void write(HttpExchange exchange, String path, String text) throws IOException {
@@ -250,9 +223,6 @@
       }
     }
     send(exchange, status, answer);
-    if (status == 200) {
-      onWrite.accept(kind, body.get("spec"));
-    }
   }
 
   private static void send(HttpExchange exchange, int status, String body) throws IOException {
