--- a/review/DaemonProcess.java
+++ b/review/DaemonProcess.java
@@ -125,8 +125,9 @@
     return process != null && process.isAlive();
   }
 
-  long pid() {
-    return process.pid();
+  /** Whether the process runs, and else how it ended. */
+  String state() {
+    return process.isAlive() ? "running" : "ended by itself with status " + process.exitValue();
   }
 
   /** Sends a signal to the daemon, which this object started. */
