A broken-off second copy no longer becomes part of the next response (MIXED)

Cause: HttpConnectionPool judged an idle connection by decoded objects. The beginning of a head is no object but the decoder's state and buffer, so the connection stayed in the pool and the next status line ended a line of the copy.

Change: ResponseDecoder closes a connection on any byte while no response is awaited, before decoding it; an idle connection is read even if its last response was paused. A copy may also cross the next request, which no check of an idle connection sees: a head in which another status line stands fails the exchange. limpetd's client had this second form of the fault and makes the same check.

--- a/limpet-engine/src/main/java/org/limpetring/engine/http/HttpEnginePort.java
+++ b/limpet-engine/src/main/java/org/limpetring/engine/http/HttpEnginePort.java
@@ -4,6 +4,7 @@
 import java.io.InputStream;
 import java.net.SocketTimeoutException;
 import java.net.URI;
+import java.util.Arrays;
 import java.util.concurrent.TimeUnit;
 import org.apache.hc.client5.http.ConnectTimeoutException;
 import org.apache.hc.client5.http.HttpHostConnectException;
@@ -29,6 +30,7 @@
 import org.limpetring.base.Outcome;
 import org.limpetring.base.ResultCode;
 import org.limpetring.base.RunState;
+import org.limpetring.base.StatusLines;
 import org.limpetring.engine.EnginePort;
 import org.limpetring.engine.EngineRequest;
 import org.limpetring.engine.ResponseSink;
@@ -113,13 +115,16 @@
 
   private Outcome evaluateResponse(
       String address, EngineRequest request, ClassicHttpResponse response, ResponseSink sink) {
-    if (isNotRun(response)) {
+    if (isNotRun(response) && !isGlued(response)) {
       return new Outcome.NotRun(ResultCode.UPSTREAM_REFUSED, address + " refused");
     }
     Header echoed = response.getFirstHeader(EngineHeaders.REQUEST);
     if (echoed == null || !echoed.getValue().equals(request.id().value())) {
       return new Outcome.Unknown(ResultCode.ANSWER_MISMATCH, address + " answered another request");
     }
+    if (isGlued(response)) {
+      return new Outcome.Unknown(ResultCode.ANSWER_MISMATCH, address + " mixed two answers");
+    }
     if (response.getCode() >= MIN_SERVER_ERROR_STATUS) {
       return new Outcome.Ran(
           ResultCode.UPSTREAM_ERROR, address + " answered " + response.getCode());
@@ -204,6 +209,14 @@
         && header.getValue().equals("true");
   }
 
+  /** Whether another response's status line stands within the head. */
+  private static boolean isGlued(ClassicHttpResponse response) {
+    String reason = response.getReasonPhrase();
+    return (reason != null && StatusLines.isIn(reason))
+        || Arrays.stream(response.getHeaders())
+            .anyMatch(header -> header.getValue() != null && StatusLines.isIn(header.getValue()));
+  }
+
   private static String contentType(ClassicHttpResponse response) {
     @Nullable HttpEntity entity = response.getEntity();
     String type = entity == null ? null : entity.getContentType();
--- a/limpet-engine/src/test/java/org/limpetring/engine/http/HttpEnginePortTest.java
+++ b/limpet-engine/src/test/java/org/limpetring/engine/http/HttpEnginePortTest.java
@@ -9,6 +9,7 @@
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -110,6 +111,24 @@
     assertThat(elapsedMs).isLessThan(4L * FIRST_BYTE_MS);
   }
 
+  static Stream<String> beginningsOfACopy() {
+    String copy =
+        "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Limpet-Request: r0\r\n"
+            + "Content-Length: 4\r\n\r\ncopy";
+    return IntStream.rangeClosed(1, copy.length()).mapToObj(length -> copy.substring(0, length));
+  }
+
+  /**
+   * MIXED: the copy's status line became that of the next response, so a 500 was taken as a 200.
+   */
+  @ParameterizedTest
+  @MethodSource("beginningsOfACopy")
+  void copyBrokenOffInFrontOfTheNextResponseDoesNotChangeIt(String beginning) throws IOException {
+    String failure = "HTTP/1.1 500 Failed\r\nX-Limpet-Request: r1\r\nContent-Length: 4\r\n\r\nnext";
+    Outcome outcome = sendTo(beginning + failure, false, request(false));
+    assertThat(outcome.code()).isNotEqualTo(ResultCode.OK);
+  }
+
   @Test
   void failedConnectionIsReportedAsNotRun() throws IOException {
     int freePort;
@@ -117,17 +136,22 @@
       freePort = reserved.getLocalPort();
     }
     try (HttpEnginePort port = new HttpEnginePort(EngineSettings.DEFAULT)) {
-      Outcome outcome = port.send("127.0.0.1:" + freePort, request(), new CollectingSink());
+      Outcome outcome = port.send("127.0.0.1:" + freePort, request(true), new CollectingSink());
       assertThat(outcome).isInstanceOf(Outcome.NotRun.class);
     }
   }
 
   private static Outcome sendTo(String response, boolean keepOpen) throws IOException {
+    return sendTo(response, keepOpen, request(true));
+  }
+
+  private static Outcome sendTo(String response, boolean keepOpen, EngineRequest request)
+      throws IOException {
     try (ServerSocket server = new ServerSocket(0, 1, InetAddress.getLoopbackAddress());
         HttpEnginePort port = new HttpEnginePort(EngineSettings.DEFAULT)) {
       Thread upstream = new Thread(() -> respondOnce(server, response, keepOpen));
       upstream.start();
-      return port.send("127.0.0.1:" + server.getLocalPort(), request(), new CollectingSink());
+      return port.send("127.0.0.1:" + server.getLocalPort(), request, new CollectingSink());
     }
   }
 
@@ -156,7 +180,7 @@
     }
   }
 
-  private static EngineRequest request() {
+  private static EngineRequest request(boolean isStreamed) {
     return new EngineRequest(
         new RequestId("r1"),
         "POST",
@@ -165,7 +189,7 @@
         "{}".getBytes(UTF_8),
         5,
         0,
-        true,
+        isStreamed,
         5_000,
         FIRST_BYTE_MS,
         FIRST_BYTE_MS);
--- a/limpet-entry/src/main/java/org/limpetring/entry/net/HttpConnectionPool.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/net/HttpConnectionPool.java
@@ -13,7 +13,6 @@
 import io.netty.handler.codec.http.FullHttpRequest;
 import io.netty.handler.codec.http.HttpContent;
 import io.netty.handler.codec.http.HttpDecoderConfig;
-import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpObject;
 import io.netty.handler.codec.http.HttpRequestEncoder;
 import io.netty.handler.codec.http.HttpResponse;
@@ -34,8 +33,8 @@
  * Pool of HTTP/1.1 client connections without pipelining; idle connections are reused.
  *
  * <p>A connection is reused only after the request was written and the response read completely,
- * with no byte behind it. Unexpected bytes on an idle connection close it. What precedes the
- * awaited response is skipped up to a limit. All methods run on the event loop.
+ * with no byte behind it. Bytes on an idle connection close it. Complete responses that precede the
+ * awaited one are skipped up to a limit. All methods run on the event loop.
  */
 public final class HttpConnectionPool {
 
@@ -196,7 +195,7 @@
       skippedBytes = 0;
       exchange.channel = channel;
       exchange.isReused = hasCarriedResponse;
-      decoder.setHeadRequest(exchange.request.method().equals(HttpMethod.HEAD));
+      decoder.awaitResponse(exchange.request.method());
       channel.config().setAutoRead(true);
       var unused =
           channel
@@ -234,6 +233,10 @@
         return;
       }
       if (object instanceof HttpResponse head) {
+        if (GluedHeads.isGlued(head)) {
+          end(SendFailure.GARBLED);
+          return;
+        }
         readHead(exchange, head);
       }
       if (object instanceof HttpContent content && !exchange.isDone) {
@@ -287,8 +290,9 @@
       current = null;
       hasCarriedResponse = true;
       // bytes after the response are a second one, or none at all
+      boolean hasBytesBehind = decoder.endResponse();
       boolean isReusable =
-          isKeepAlive && exchange.isWritten && channel.isActive() && !decoder.hasUnreadBytes();
+          isKeepAlive && exchange.isWritten && channel.isActive() && !hasBytesBehind;
       if (isReusable) {
         returnToPool();
       }
@@ -308,6 +312,8 @@
       }
       idleUntilMs = clock.nowMs() + idleTimeoutMs;
       isIdle = true;
+      // an idle connection is read even if its last response was paused, to see unexpected bytes
+      channel.config().setAutoRead(true);
       idleConnections.addLast(this);
     }
 
--- a/limpet-entry/src/main/java/org/limpetring/entry/net/ResponseDecoder.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/net/ResponseDecoder.java
@@ -1,28 +1,49 @@
 package org.limpetring.entry.net;
 
+import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.http.HttpDecoderConfig;
 import io.netty.handler.codec.http.HttpMessage;
+import io.netty.handler.codec.http.HttpMethod;
 import io.netty.handler.codec.http.HttpResponseDecoder;
+import io.netty.util.ReferenceCountUtil;
 
-/** Decoder of one connection's responses that knows whether bytes follow the last response. */
+/**
+ * Decoder of one connection's responses; closes the connection on bytes that belong to no response.
+ *
+ * <p>The decoder keeps the state of an incomplete head, so even one byte that is decoded while no
+ * response is awaited becomes part of the next one.
+ */
 final class ResponseDecoder extends HttpResponseDecoder {
 
+  private boolean isAwaitingResponse;
   private boolean isHeadRequest;
 
   ResponseDecoder(HttpDecoderConfig config) {
     super(config);
   }
 
-  /** Sets whether the response in turn answers a HEAD request and so has no body. */
-  void setHeadRequest(boolean isHead) {
-    isHeadRequest = isHead;
+  /** Starts to decode the response to a request. */
+  void awaitResponse(HttpMethod requestMethod) {
+    isAwaitingResponse = true;
+    isHeadRequest = requestMethod.equals(HttpMethod.HEAD);
   }
 
-  /** Whether bytes were received that no response has consumed. */
-  boolean hasUnreadBytes() {
+  /** Ends the response; returns whether bytes were received behind it. */
+  boolean endResponse() {
+    isAwaitingResponse = false;
     return actualReadableBytes() > 0;
   }
 
+  @Override
+  public void channelRead(ChannelHandlerContext context, Object message) throws Exception {
+    if (isAwaitingResponse) {
+      super.channelRead(context, message);
+      return;
+    }
+    ReferenceCountUtil.release(message);
+    Channels.close(context);
+  }
+
   @Override
   protected boolean isContentAlwaysEmpty(HttpMessage message) {
     return isHeadRequest || super.isContentAlwaysEmpty(message);
--- a/limpet-entry/src/test/java/org/limpetring/entry/net/HttpConnectionPoolTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/net/HttpConnectionPoolTest.java
@@ -19,16 +19,26 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
+import org.jspecify.annotations.Nullable;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
+import org.junit.jupiter.params.provider.MethodSource;
 import org.limpetring.base.Clock;
 
 final class HttpConnectionPoolTest {
 
   private static final String ID = "id";
 
+  private static final String OWN_ANSWER =
+      "HTTP/1.1 200 OK\r\nid: own\r\nContent-Length: 5\r\n\r\nfirst";
+
+  private static final String NEXT_FAILURE =
+      "HTTP/1.1 500 Failed\r\nid: own\r\nContent-Length: 4\r\n\r\nnext";
+
   /** Bytes without end: a start, and what is repeated until the client closes. */
   enum Endless {
     STATUS_LINE("HTTP/1.1 200 ", "xxxxxxxxxxxxxxxx"),
@@ -63,6 +73,7 @@
   private final MultiThreadIoEventLoopGroup loops =
       new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
   private final EventLoop loop = loops.next();
+  private volatile boolean isAnswered;
   private final HttpConnectionPool pool = new HttpConnectionPool(loop, Clock.system());
 
   @AfterEach
@@ -71,23 +82,32 @@
   }
 
   /** Completes with the body, or with the failure's name. */
-  private static final class Listener implements ExchangeListener {
+  private final class Listener implements ExchangeListener {
     final CompletableFuture<String> result = new CompletableFuture<>();
     private final StringBuilder body = new StringBuilder();
+    private String status = "";
+
+    /** Exchange to pause as soon as its body arrives. */
+    private @Nullable Exchange pauses;
 
     @Override
     public boolean onHead(HttpResponse head) {
+      status = head.status().code() + " ";
       return "own".equals(head.headers().get(ID));
     }
 
     @Override
     public void onBody(ByteBuf data) {
       body.append(data.toString(StandardCharsets.ISO_8859_1));
+      if (pauses != null) {
+        pauses.setReading(false);
+      }
     }
 
     @Override
     public void onEnd() {
-      result.complete(body.toString());
+      result.complete(status + body);
+      isAnswered = true;
     }
 
     @Override
@@ -98,18 +118,16 @@
 
   private String send(ScriptedServer server) throws Exception {
     Listener listener = new Listener();
-    loop.execute(
-        () ->
-            pool.send(
-                server.address(),
-                new DefaultFullHttpRequest(
-                    HttpVersion.HTTP_1_1, HttpMethod.GET, "/", Unpooled.EMPTY_BUFFER),
-                false,
-                1_000,
-                listener));
+    isAnswered = false;
+    loop.execute(() -> pool.send(server.address(), get(), false, 1_000, listener));
     return listener.result.get(10, TimeUnit.SECONDS);
   }
 
+  private static DefaultFullHttpRequest get() {
+    return new DefaultFullHttpRequest(
+        HttpVersion.HTTP_1_1, HttpMethod.GET, "/", Unpooled.EMPTY_BUFFER);
+  }
+
   @ParameterizedTest
   @EnumSource
   void bytesWithoutEndFailTheExchangeAndCloseTheConnection(Endless kind) throws Exception {
@@ -135,12 +153,78 @@
           new ScriptedServer(
               (out, connection, request) ->
                   text(out, answers.get(Math.min(request, answers.size() - 1))))) {
-        assertThat(send(server)).isEqualTo("first");
-        assertThat(send(server)).isEqualTo("first");
+        assertThat(send(server)).isEqualTo("200 first");
+        assertThat(send(server)).isEqualTo("200 first");
       }
     }
   }
 
+  /** MIXED: the copy's status line became that of the next answer, so a 500 arrived as a 200. */
+  @ParameterizedTest
+  @MethodSource("beginningsOfACopy")
+  void bytesOnAnIdleConnectionCloseIt(String beginning) throws Exception {
+    try (ScriptedServer server =
+        new ScriptedServer(
+            (out, connection, request) -> {
+              text(out, request == 0 ? OWN_ANSWER : NEXT_FAILURE);
+              awaitIdle();
+              text(out, beginning);
+            })) {
+      assertThat(send(server)).isEqualTo("200 first");
+      await().atMost(Duration.ofSeconds(5)).until(() -> server.closedByClient.get() == 1);
+      assertThat(send(server)).isEqualTo("200 first");
+    }
+  }
+
+  /** MIXED: as above, where the copy arrives after the next request was sent. */
+  @ParameterizedTest
+  @MethodSource("beginningsOfACopy")
+  void copyBrokenOffInFrontOfTheNextAnswerDoesNotChangeIt(String beginning) throws Exception {
+    try (ScriptedServer server =
+        new ScriptedServer(
+            (out, connection, request) -> {
+              text(out, request == 0 ? OWN_ANSWER : beginning + NEXT_FAILURE);
+              if (request > 0) {
+                throw new IOException("ends the connection");
+              }
+            })) {
+      assertThat(send(server)).isEqualTo("200 first");
+      assertThat(send(server))
+          .isAnyOf("500 next", SendFailure.BROKEN.name(), SendFailure.GARBLED.name());
+    }
+  }
+
+  static Stream<String> beginningsOfACopy() {
+    String copy = "HTTP/1.1 200 OK\r\nseal: of-other\r\nid: other\r\nContent-Length: 4\r\n\r\ncopy";
+    return IntStream.rangeClosed(1, copy.length()).mapToObj(length -> copy.substring(0, length));
+  }
+
+  /** Waits until the client has read the answer and has no request on the connection. */
+  private void awaitIdle() {
+    await().atMost(Duration.ofSeconds(5)).until(() -> isAnswered);
+  }
+
+  /** A paused connection isn't read, so what arrives on it would be taken for the next answer. */
+  @Test
+  void connectionThatEndedItsExchangePausedIsReadWhileIdle() throws Exception {
+    try (ScriptedServer server =
+        new ScriptedServer(
+            (out, connection, request) -> {
+              text(out, request == 0 ? OWN_ANSWER : NEXT_FAILURE);
+              awaitIdle();
+              text(out, "HTTP/1.1 200 OK\r\nseal: of-");
+            })) {
+      Listener listener = new Listener();
+      loop.submit(
+              () -> {
+                listener.pauses = pool.send(server.address(), get(), false, 1_000, listener);
+              })
+          .get();
+      assertThat(listener.result.get(10, TimeUnit.SECONDS)).isEqualTo("200 first");
+      await().atMost(Duration.ofSeconds(5)).until(() -> server.closedByClient.get() == 1);
+    }
+  }
+
   @Test
   void answerThatBreaksOffHalfwayIsNotComplete() throws Exception {
     for (String broken :
--- a/limpet-entry/src/test/java/org/limpetring/entry/net/ScriptedServer.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/net/ScriptedServer.java
@@ -64,6 +64,7 @@
       for (int request = 0; readHead(in); request++) {
         script.write(connection.getOutputStream(), number, request);
       }
+      closedByClient.incrementAndGet();
     } catch (IOException closed) {
       closedByClient.incrementAndGet();
     }
