A broken-off stream to an HTTP/1.0 caller ends with a reset (MIXED)

WholePathTest.brokenStreamOfAnHttp10CallerEndsWithAReset failed before (nothing was thrown), passes after.

--- a/limpet-entry/src/main/java/org/limpetring/entry/net/CallerConnection.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/net/CallerConnection.java
@@ -93,6 +93,9 @@
   private boolean isRejectingBody;
   private boolean isBusy;
 
+  /** Whether only the end of the connection tells the caller that the response is complete. */
+  private boolean isEndedByClose;
+
   /** Creates a connection that passes requests to {@code handler}. */
   public CallerConnection(Handler handler) {
     this.handler = handler;
@@ -231,6 +234,7 @@
     response.headers().add(headers);
     if (head != null && head.protocolVersion().equals(HttpVersion.HTTP_1_0)) {
       isKeepAlive = false;
+      isEndedByClose = true;
     } else {
       response.headers().set(HttpHeaderNames.TRANSFER_ENCODING, HttpHeaderValues.CHUNKED);
     }
@@ -259,6 +263,10 @@
   public void abort() {
     isResponding = false;
     handle = null;
+    if (isEndedByClose) {
+      Channels.reset(context());
+      return;
+    }
     Channels.close(context());
   }
 
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
@@ -2,11 +2,13 @@
 
 import static com.google.common.truth.Truth.assertThat;
 import static org.awaitility.Awaitility.await;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 
 import java.io.IOException;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.Socket;
+import java.net.SocketException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -209,15 +211,31 @@
     assertThat(isComplete).isEqualTo(events.equals(StandinUpstream.COMPLETE_STREAM));
   }
 
-  /** Sends a request on a connection of its own; returns what arrives until that is closed. */
+  /** MIXED: without chunks, an orderly close made a broken-off stream look complete. */
+  @Test
+  void brokenStreamOfAnHttp10CallerEndsWithAReset() {
+    for (StandinUpstream engine : engines) {
+      engine.setLaterFaults(List.of(Fault.STATUS_500));
+    }
+    engineFault.set(Fault.BREAK_AFTER_ONE_EVENT);
+    assertThrows(SocketException.class, () -> sendRaw("/s/x", "HTTP/1.0"));
+  }
+
   private String sendRaw(String path) throws IOException {
+    return sendRaw(path, "HTTP/1.1");
+  }
+
+  /** Sends a request on a connection of its own; returns what arrives until that is closed. */
+  private String sendRaw(String path, String version) throws IOException {
     try (Socket socket =
         new Socket(InetAddress.getLoopbackAddress(), settings.callerAddress().getPort())) {
       socket.setSoTimeout(5_000);
       String request =
           "POST "
               + path
-              + " HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Limpetring-Request-Id: raw"
+              + " "
+              + version
+              + "\r\nHost: 127.0.0.1\r\nX-Limpetring-Request-Id: raw"
               + requestCount++
               + "\r\nX-Limpetring-Request-Deadline: 3000\r\nX-Limpetring-Key: k\r\n"
               + "X-Limpetring-Model: m\r\nConnection: close\r\nContent-Length: 0\r\n\r\n";
