Incomplete events draw on the common budget of buffers (LOST, CONFIG)

Callers saw, in a test with a heap of 64 MB: no answer from a sound upstream within 1 s, after 4 s of 300 callers at engines whose events don't end.

Cause: an incomplete event was buffered up to 1 MiB for each stream, outside any common limit; an engine's report or reply could take 8 MiB each.

Change: BufferBudget has an account for each request, for bodies and incomplete events. When it is spent, the largest buffer gives way and not the one that asks. Calls to engines are limited to 64 KiB.

EndlessBytesTest.eventsWithoutEndDoNotDelayOtherCallers failed before and passes.

--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
@@ -53,6 +53,12 @@
     RequestFormat format();
   }
 
+  /** A page of the store holds about 1 MB. */
+  private static final int MAX_STORE_RESPONSE_BYTES = 8_388_608;
+
+  /** Reports and replies to orders are small; many engines are asked at the same time. */
+  private static final int MAX_ENGINE_RESPONSE_BYTES = 65_536;
+
   /** Interval of time-driven decisions. */
   private static final long TICK_INTERVAL_MS = 50;
 
@@ -109,8 +115,8 @@
     this.eventLoops = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     this.loop = eventLoops.next();
     HttpConnectionPool connections = new HttpConnectionPool(loop, clock);
-    SimpleHttpClient calls = new SimpleHttpClient(connections);
-    this.store = platform.store(calls, log, metrics);
+    this.store =
+        platform.store(new SimpleHttpClient(connections, MAX_STORE_RESPONSE_BYTES), log, metrics);
     this.view = new PlatformView(clock, log);
     this.peers = new PeerRegistry(settings.daemonName());
     this.core =
@@ -121,7 +127,7 @@
     this.groupManager =
         new GroupManager(
             role,
-            platform.engines(calls),
+            platform.engines(new SimpleHttpClient(connections, MAX_ENGINE_RESPONSE_BYTES)),
             new GroupManagerContext(),
             clock,
             log,
--- a/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
@@ -26,6 +26,7 @@
 import org.limpetring.entry.balancing.RetryRule;
 import org.limpetring.entry.model.Route;
 import org.limpetring.entry.model.Team;
+import org.limpetring.entry.net.BufferBudget;
 import org.limpetring.entry.net.CallerConnection;
 import org.limpetring.entry.net.EventSplitter;
 import org.limpetring.entry.net.Exchange;
@@ -63,6 +64,7 @@
   private final CallerRequest request;
   private final RequestLog requestLog;
   private final ByteBuf body;
+  private final BufferBudget.Account buffered;
   private final ResponseBuffer responseBody;
   private final long arrivedMs;
   private final Set<String> triedIncarnations = new HashSet<>();
@@ -94,7 +96,8 @@
     this.request = request;
     this.requestLog = new RequestLog(core, request, () -> this.route.name());
     this.body = body;
-    this.responseBody = new ResponseBuffer(core.responseBuffers());
+    this.buffered = core.responseBuffers().open(this::onBufferEvicted);
+    this.responseBody = new ResponseBuffer(buffered);
     this.route = route;
     this.arrivedMs = core.nowMs();
     this.demand = new Demand(0, 0, 0, 0, false, arrivedMs);
@@ -296,13 +299,31 @@
       }
       case NO_ROOM -> {
         cancelExchange();
-        releaseEndpoint();
-        runCount++;
-        retryOrFail("response buffers full", ResultCode.UPSTREAM_LOST);
+        onBufferLost();
       }
     }
   }
 
+  /** A smaller buffer needs the room; the request itself is moved after that one's turn. */
+  private void onBufferEvicted() {
+    cancelExchange();
+    responseBody.clear();
+    if (events != null) {
+      events.dropPartial();
+    }
+    core.loop().execute(this::onBufferLost);
+  }
+
+  private void onBufferLost() {
+    if (isEnded || endpoint == null) {
+      return;
+    }
+    currentEndpoint().onOutcome(false, core.nowMs());
+    releaseEndpoint();
+    runCount++;
+    retryOrFail("response buffers full", ResultCode.UPSTREAM_LOST);
+  }
+
   private boolean isRelayedAsEvents(ResponseHead head) {
     return route.isStreaming() && head.isSuccess() && head.isSigned();
   }
@@ -325,6 +346,11 @@
     if (events.isOutOfOrder()) {
       cancelExchange();
       onFailure(SendFailure.GARBLED);
+      return;
+    }
+    if (!buffered.tryHold(events.bufferedBytes())) {
+      cancelExchange();
+      onBufferLost();
     }
   }
 
--- a/limpet-entry/src/main/java/org/limpetring/entry/ResponseBuffer.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/ResponseBuffer.java
@@ -20,32 +20,34 @@
   /** Largest response body that is buffered before it is forwarded. */
   private static final int MAX_BYTES = 8_388_608;
 
-  private final BufferBudget budget;
+  private final BufferBudget.Account account;
   private @Nullable ByteBuf body;
 
-  ResponseBuffer(BufferBudget budget) {
-    this.budget = budget;
+  ResponseBuffer(BufferBudget.Account account) {
+    this.account = account;
   }
 
   /** Adds bytes unless a limit is exceeded; the caller keeps its reference. */
   Appended append(ByteBuf data) {
-    if (body == null) {
-      body = data.alloc().heapBuffer(Math.max(256, data.readableBytes()));
+    ByteBuf buffer = body;
+    if (buffer == null) {
+      buffer = data.alloc().heapBuffer(Math.max(256, data.readableBytes()));
+      body = buffer;
     }
-    if (body.readableBytes() + data.readableBytes() > MAX_BYTES) {
+    if (buffer.readableBytes() + data.readableBytes() > MAX_BYTES) {
       return Appended.TOO_LONG;
     }
-    if (!budget.tryReserve(data.readableBytes())) {
+    if (!account.tryHold(buffer.readableBytes() + data.readableBytes())) {
       return Appended.NO_ROOM;
     }
-    body.writeBytes(data);
+    buffer.writeBytes(data);
     return Appended.OK;
   }
 
   /** Returns the body, to be released by the caller, and leaves this buffer empty. */
   ByteBuf take() {
     ByteBuf taken = body == null ? Unpooled.EMPTY_BUFFER : body;
-    budget.release(taken.readableBytes());
+    account.release();
     body = null;
     return taken;
   }
--- a/limpet-entry/src/main/java/org/limpetring/entry/net/EventSplitter.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/net/EventSplitter.java
@@ -14,6 +14,9 @@
   /** Size limit of an event, in bytes. */
   private static final int MAX_EVENT_BYTES = 1_048_576;
 
+  /** Size of the buffer between events, in bytes. */
+  private static final int INITIAL_BYTES = 512;
+
   private final ByteBuf pending;
   private int scanned;
   private int lineStart;
@@ -25,7 +28,7 @@
 
   /** Creates an empty splitter, which must be released. */
   public EventSplitter(ByteBufAllocator allocator) {
-    this.pending = allocator.heapBuffer(512);
+    this.pending = allocator.heapBuffer(INITIAL_BYTES);
   }
 
   /** Returns the id of the last complete event, or null. */
@@ -43,6 +46,11 @@
     return !pending.isReadable();
   }
 
+  /** Returns the bytes that the buffer occupies. */
+  public int bufferedBytes() {
+    return pending.capacity();
+  }
+
   /** Another run of the request continues the stream after its last event. */
   public void resume() {
     dropPartial();
@@ -61,11 +69,19 @@
   /** Discards an incomplete event before another run resumes the stream. */
   public void dropPartial() {
     pending.clear();
+    shrink();
     scanned = 0;
     lineStart = 0;
     pendingId = null;
   }
 
+  /** Returns the memory of a long event. */
+  private void shrink() {
+    if (pending.capacity() > INITIAL_BYTES && pending.readableBytes() <= INITIAL_BYTES) {
+      pending.discardReadBytes().capacity(INITIAL_BYTES);
+    }
+  }
+
   /**
    * Adds bytes; returns the events completed by them, to be released by the caller, or null.
    *
@@ -114,6 +130,7 @@
     scanned = at - end;
     lineStart = start - end;
     pending.discardReadBytes();
+    shrink();
     return events;
   }
 
--- a/limpet-entry/src/main/java/org/limpetring/entry/net/SimpleHttpClient.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/net/SimpleHttpClient.java
@@ -19,16 +19,19 @@
 /** HTTP client for small calls with a timeout; buffers the complete response body. */
 public final class SimpleHttpClient {
 
-  /** Size limit of a response body, in bytes; a page of the store holds about 1 MB. */
-  private static final int MAX_BODY_BYTES = 8_388_608;
-
   private static final int CONNECT_TIMEOUT_MS = 400;
 
   private final HttpConnectionPool connections;
-
-  /** Creates a client on shared connections. */
-  public SimpleHttpClient(HttpConnectionPool connections) {
+  private final int maxBodyBytes;
+
+  /**
+   * Creates a client on shared connections.
+   *
+   * @param maxBodyBytes size limit of a response body; a longer one fails the call
+   */
+  public SimpleHttpClient(HttpConnectionPool connections, int maxBodyBytes) {
     this.connections = connections;
+    this.maxBodyBytes = maxBodyBytes;
   }
 
   /** Which connection a call uses. */
@@ -110,7 +113,7 @@
 
     @Override
     public void onBody(ByteBuf data) {
-      if (body.size() + data.readableBytes() > MAX_BODY_BYTES) {
+      if (body.size() + data.readableBytes() > maxBodyBytes) {
         if (exchange != null) {
           exchange.cancel();
         }
