--- a/limpet-engine/src/main/java/org/limpetring/engine/http/HttpEnginePort.java
+++ b/limpet-engine/src/main/java/org/limpetring/engine/http/HttpEnginePort.java
@@ -13,6 +13,7 @@
 import org.apache.hc.client5.http.config.RequestConfig;
 import org.apache.hc.client5.http.impl.classic.CloseableHttpClient;
 import org.apache.hc.client5.http.impl.classic.HttpClients;
+import org.apache.hc.client5.http.impl.io.ManagedHttpClientConnectionFactory;
 import org.apache.hc.client5.http.impl.io.PoolingHttpClientConnectionManagerBuilder;
 import org.apache.hc.client5.http.protocol.HttpClientContext;
 import org.apache.hc.core5.http.ClassicHttpResponse;
@@ -237,6 +238,10 @@
     return HttpClients.custom()
         .setConnectionManager(
             PoolingHttpClientConnectionManagerBuilder.create()
+                .setConnectionFactory(
+                    ManagedHttpClientConnectionFactory.builder()
+                        .responseParserFactory(CompleteHeadParser::new)
+                        .build())
                 .setDefaultConnectionConfig(connection)
                 .setDefaultSocketConfig(SocketConfig.custom().setTcpNoDelay(true).build())
                 .setMaxConnPerRoute(settings.maxConnectionsPerUpstream())
--- a/limpet-engine/src/test/java/org/limpetring/engine/http/HttpEnginePortTest.java
+++ b/limpet-engine/src/test/java/org/limpetring/engine/http/HttpEnginePortTest.java
@@ -111,6 +111,26 @@
     assertThat(elapsedMs).isLessThan(4L * FIRST_BYTE_MS);
   }
 
+  static Stream<String> headsCutShort() {
+    String start = "HTTP/1.1 200 OK\r\nX-Limpet-Request: r1\r\nContent-Type: text/plain\r\n";
+    return Stream.of(
+            start + "\r\n",
+            start + "Content-Length: 5\r\n\r\n",
+            start + "Transfer-Encoding: chunked\r\n\r\n")
+        .flatMap(
+            head ->
+                IntStream.range(0, head.length()).mapToObj(length -> head.substring(0, length)));
+  }
+
+  /** MIXED: an answer whose head was cut became a 200 with an empty body. */
+  @ParameterizedTest
+  @MethodSource("headsCutShort")
+  void answerCutInItsHeadIsNoAnswer(String cut) throws IOException {
+    Outcome outcome = sendTo(cut, false, request(false));
+    assertThat(outcome.code()).isEqualTo(ResultCode.UPSTREAM_LOST);
+    assertThat(outcome.runState()).isEqualTo(RunState.UNKNOWN);
+  }
+
   static Stream<String> beginningsOfACopy() {
     String copy =
         "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\nX-Limpet-Request: r0\r\n"
--- a/limpet-entry/src/test/java/org/limpetring/entry/net/HttpConnectionPoolTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/net/HttpConnectionPoolTest.java
@@ -275,6 +275,38 @@
     }
   }
 
+  /** MIXED, ORDER: an answer whose head was cut became a 200 with an empty or short body. */
+  @ParameterizedTest
+  @MethodSource("headsCutShort")
+  void answerCutInItsHeadIsNoAnswer(String cut) throws Exception {
+    for (IOException end : List.of(new IOException("closes"), new ScriptedServer.Reset())) {
+      try (ScriptedServer server =
+          new ScriptedServer(
+              (out, connection, request) -> {
+                text(out, cut);
+                throw end;
+              })) {
+        assertThat(send(server)).isAnyOf(SendFailure.BROKEN.name(), SendFailure.GARBLED.name());
+      }
+    }
+  }
+
+  static Stream<String> headsCutShort() {
+    String start = "HTTP/1.1 200 OK\r\nid: own\r\nContent-Type: text/event-stream\r\n";
+    return Stream.of(
+            start + "\r\n",
+            start + "Content-Length: 5\r\n\r\n",
+            start + "Content-Length: 0\r\n\r\n",
+            start + "Transfer-Encoding: chunked\r\n\r\n",
+            start + "Connection: close\r\n\r\n",
+            "HTTP/1.1 100 Continue\r\n\r\n" + start + "\r\n",
+            "HTTP/1.0 200 OK\r\nid: own\r\n\r\n",
+            "HTTP/1.1 200 OK\nid: own\n\n")
+        .flatMap(
+            head ->
+                IntStream.range(0, head.length()).mapToObj(length -> head.substring(0, length)));
+  }
+
   @Test
   void answerThatBreaksOffHalfwayIsNotComplete() throws Exception {
     for (String broken :
