A planned stop answers what is still in progress at the end of the grace period (LOST)

Report of other operators: requests that came late in the grace of a planned stop were passed on and cut at its end with no answer, among them requests that may not be repeated.

Callers saw, in the test: a connection that closes without an answer, for requests with a time limit of 30 s that were passed on after the SIGTERM.

Change: work that may not be repeated is taken only if it ends in time, from the SIGTERM on; with a short grace period nothing long is taken late in it. At 97 % of the grace period each request in progress gets its final answer, 502 if it was passed on and 503 if not; the process ends when these are written, at 99 % at the latest.

PlannedStopTest.requestsThatArePassedOnGetAnAnswer failed before (no answer to the first request passed on) and passes.

--- a/limpet-entry/src/main/java/org/limpetring/entry/CallerHandler.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/CallerHandler.java
@@ -41,7 +41,7 @@
     if (!core.table().isAllowed(route, request.key())) {
       return reject(connection, request, body, ResultCode.BAD_KEY);
     }
-    if (!core.canComplete(Math.min(request.deadlineMs(), route.timeoutMs()))) {
+    if (!core.canComplete(route, Math.min(request.deadlineMs(), route.timeoutMs()))) {
       return reject(connection, request, body, ResultCode.STOPPING);
     }
     RequestFlow flow = new RequestFlow(core, connection, request, body, route);
--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
@@ -174,10 +174,18 @@
     return isStopping ? nowMs() - stopStartedMs : 0;
   }
 
-  /** Whether a request of at most {@code maxDurationMs} can complete before the process ends. */
-  boolean canComplete(long maxDurationMs) {
+  /** Whether a request of at most {@code maxDurationMs} is accepted though the daemon may stop. */
+  boolean canComplete(Route route, long maxDurationMs) {
     return !isStopping
-        || ShutdownRule.accepts(stoppingMs(), maxDurationMs, settings.bounds().graceMs());
+        || ShutdownRule.accepts(
+            stoppingMs(), maxDurationMs, settings.bounds().graceMs(), route.isRetryable());
+  }
+
+  /** Gives each request in progress its final answer. */
+  void endFlows() {
+    for (RequestFlow flow : List.copyOf(flows)) {
+      flow.endWithProcess();
+    }
   }
 
   /** Number of requests in progress, waiting ones included. */
--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
@@ -79,9 +79,6 @@
   /** Rendezvous hash key that selects those daemons. */
   private static final String WATCHERS_HASH_KEY = "watchers";
 
-  /** Fraction of the grace period after which requests still in progress are cut. */
-  private static final double GRACE_FRACTION = 0.97;
-
   private final EntrySettings settings;
   private final DecisionLog log;
   private final Clock clock = Clock.system();
@@ -436,12 +433,16 @@
   }
 
   private void tickStopping(long stoppingMs) {
-    if (stoppingMs < ShutdownRule.BALANCER_REMOVAL_MS) {
+    long graceMs = settings.bounds().graceMs();
+    boolean isGraceSpent = ShutdownRule.isGraceSpent(stoppingMs, graceMs);
+    if (stoppingMs < ShutdownRule.BALANCER_REMOVAL_MS && !isGraceSpent) {
       return;
     }
+    if (isGraceSpent) {
+      core.endFlows();
+    }
     callerHandler.closeIdle();
-    boolean isGraceSpent = stoppingMs > settings.bounds().graceMs() * GRACE_FRACTION;
-    if (!callerHandler.isBusy() || isGraceSpent) {
+    if (!callerHandler.isBusy() || ShutdownRule.mustExit(stoppingMs, graceMs)) {
       log.write(LogEvent.PROCESS_STOPPED, "afterMs", stoppingMs, "requests", core.flowCount());
       log.flush();
       eventLoops
--- a/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
@@ -595,6 +595,15 @@
   }
 
   private void onTimeout() {
+    endNow(ResultCode.UPSTREAM_TIMEOUT, ResultCode.QUEUE_TIMEOUT, "deadline exceeded");
+  }
+
+  /** The process ends before the request does. */
+  void endWithProcess() {
+    endNow(ResultCode.UPSTREAM_LOST, ResultCode.STOPPING, "grace period spent");
+  }
+
+  private void endNow(ResultCode codeIfSent, ResultCode codeIfWaiting, String reason) {
     if (isEnded) {
       return;
     }
@@ -602,7 +611,7 @@
     cancelExchange();
     releaseEndpoint();
     core.dequeue(this);
-    fail(wasSent ? ResultCode.UPSTREAM_TIMEOUT : ResultCode.QUEUE_TIMEOUT, "deadline exceeded");
+    fail(wasSent ? codeIfSent : codeIfWaiting, reason);
   }
 
   @Override
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/StandinConfig.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/StandinConfig.java
@@ -10,17 +10,17 @@
 
   /** Configuration as JSON; {@code key} is the only valid caller key. */
   public static String json(int version, String key) {
-    return json(version, key, 4);
+    return json(version, key, 4, 3_000);
   }
 
-  /** The same with {@code slots} requests at once at an engine. */
-  public static String json(int version, String key, int slots) {
+  /** The same with {@code slots} requests at once at an engine and another time limit. */
+  public static String json(int version, String key, int slots, long timeoutMs) {
     return ("{\"version\":%d,\"routes\":["
-            + route("s", "streaming", "engines", true)
+            + route("s", "streaming", "engines", true, timeoutMs)
             + ","
-            + route("o", "non_idempotent", "plain", false)
+            + route("o", "non_idempotent", "plain", false, timeoutMs)
             + ","
-            + route("r", "idempotent", "plain", false)
+            + route("r", "idempotent", "plain", false, timeoutMs)
             + "],\"services\":[{\"name\":\"engines\",\"max_conns\":100,\"engine\":{\"slots\":%d,"
             + "\"step_ms\":5,\"read_per_s\":50000,\"stride\":7,\"chunk\":2048,\"loads_per_s\":4.5,"
             + "\"loads_at_once\":6,\"usual\":{\"prompt\":100,\"answer\":50},\"models\":[{\"name\":\"m\","
@@ -30,8 +30,9 @@
         .formatted(version, slots, key);
   }
 
-  private static String route(String prefix, String kind, String service, boolean isResumable) {
-    return "{\"name\":\"%s\",\"host\":\"127.0.0.1\",\"prefix\":\"/%s/\",\"kind\":\"%s\",\"timeout_ms\":3000,\"slo_ms\":500,\"attempts\":2,\"priority\":1,\"resumable\":%s,\"service\":\"%s\"}"
-        .formatted(prefix, prefix, kind, isResumable, service);
+  private static String route(
+      String prefix, String kind, String service, boolean isResumable, long timeoutMs) {
+    return "{\"name\":\"%s\",\"host\":\"127.0.0.1\",\"prefix\":\"/%s/\",\"kind\":\"%s\",\"timeout_ms\":%d,\"slo_ms\":500,\"attempts\":2,\"priority\":1,\"resumable\":%s,\"service\":\"%s\"}"
+        .formatted(prefix, prefix, kind, timeoutMs, isResumable, service);
   }
 }
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/StandinUpstream.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/StandinUpstream.java
@@ -34,6 +34,8 @@
     BREAK_AFTER_ONE_EVENT,
     BREAK_INSIDE_AN_EVENT,
     RESET_AFTER_READING,
+    /** Reads the request and never answers. */
+    SILENT,
     NOT_EXECUTED,
     NO_SEAL,
     OTHER_REQUESTS_RESPONSE_FIRST,
@@ -96,7 +98,7 @@
   private Consumer<String> joinListener = group -> {};
 
   /** Request lines, headers and bodies of all requests received. */
-  final List<Map<String, String>> received = new CopyOnWriteArrayList<>();
+  public final List<Map<String, String>> received = new CopyOnWriteArrayList<>();
 
   /** Request lines, headers and bodies of the requests whose execution started. */
   public final List<Map<String, String>> executed = new CopyOnWriteArrayList<>();
@@ -296,6 +298,9 @@
         connection.setSoLinger(true, 0);
         return false;
       }
+      case SILENT -> {
+        return true;
+      }
       case NOT_EXECUTED -> {
         send(out, 503, echo + "X-Limpetring-Not-Executed: 1\r\n", "");
         return true;
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/soak/EndlessBytesTest.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/soak/EndlessBytesTest.java
@@ -46,7 +46,7 @@
   @BeforeEach
   void start(@TempDir Path directory) throws IOException {
     store = new StandinPlatform();
-    store.put("config", "main", StandinConfig.json(3, "k", SLOTS));
+    store.put("config", "main", StandinConfig.json(3, "k", SLOTS, 3_000));
     AtomicReference<Fault> none = new AtomicReference<>(Fault.NONE);
     for (String id : List.of("i-1", "i-2", "i-3", "i-4")) {
       StandinUpstream engine = new StandinUpstream(id, "engines", true, store, none);
@@ -80,8 +80,7 @@
     long endNs = System.nanoTime() + LOAD_DURATION.toNanos();
     List<CompletableFuture<Void>> load = new ArrayList<>();
     for (int i = 0; i < 2 * SLOTS; i++) {
-      load.add(
-          CompletableFuture.runAsync(() -> sendUntil(endNs), command -> daemonThread(command)));
+      load.add(CompletableFuture.runAsync(() -> sendUntil(endNs), EndlessBytesTest::daemonThread));
     }
     int answered = 0;
     while (System.nanoTime() < endNs) {
