A planned stop waits until answers are written (LOST)

Cause: a connection counted as idle as soon as its answer was handed to the channel, so a stop closed it with what was still to be written and ended the process.

Change: a connection is in use until the last byte of its answer is written.

--- a/limpet-entry/src/main/java/org/limpetring/entry/net/CallerConnection.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/net/CallerConnection.java
@@ -93,6 +93,9 @@
   private boolean isRejectingBody;
   private boolean isBusy;
 
+  /** Responses that are handed to the channel, with bytes that the caller has not taken yet. */
+  private int unwrittenResponses;
+
   /** Whether only the end of the connection tells the caller that the response is complete. */
   private boolean isEndedByClose;
 
@@ -223,7 +226,7 @@
       content.clear();
     }
     setConnectionHeader(response);
-    Channels.send(context(), response);
+    sendLast(response);
     finishResponse();
   }
 
@@ -254,11 +257,17 @@
   /** Completes a stream. */
   public void endStream() {
     if (isResponding) {
-      Channels.send(context(), LastHttpContent.EMPTY_LAST_CONTENT);
+      sendLast(LastHttpContent.EMPTY_LAST_CONTENT);
       finishResponse();
     }
   }
 
+  /** Sends the end of a response; the connection is in use until it is written. */
+  private void sendLast(Object message) {
+    unwrittenResponses++;
+    var unused = context().writeAndFlush(message).addListener(written -> unwrittenResponses--);
+  }
+
   /** Closes the connection without completing the response. */
   public void abort() {
     isResponding = false;
@@ -270,16 +279,16 @@
     Channels.close(context());
   }
 
-  /** Closes the connection if no request is in progress. */
+  /** Closes the connection if no request is in progress and all responses are written. */
   public void closeIfIdle() {
-    if (!isBusy && body == null) {
+    if (!isBusy() && body == null) {
       Channels.close(context());
     }
   }
 
-  /** Whether a request is in progress. */
+  /** Whether a request is in progress or its response is not written yet. */
   public boolean isBusy() {
-    return isBusy;
+    return isBusy || unwrittenResponses > 0;
   }
 
   private void setConnectionHeader(HttpResponse response) {
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/StandinUpstream.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/StandinUpstream.java
@@ -44,6 +44,8 @@
     /** As before, slow enough that many such bodies grow at the same time. */
     SLOW_ENDLESS_BODY,
     SHORT_BODY,
+    /** A complete answer that is longer than the send buffer of a socket. */
+    LARGE_BODY,
     STATUS_500,
     /** When resuming: a success that is no event stream, with an empty line in it. */
     TEXT_200,
@@ -65,6 +67,8 @@
   public static final String COMPLETE_STREAM =
       "id: 1\ndata: e1\n\nid: 2\ndata: e2\n\nid: 3\ndata: e3\n\nid: 4\ndata: e4\n\nid: 5\ndata: e5\n\n";
 
+  public static final int LARGE_BODY_BYTES = 7_500_000;
+
   private static final int EVENT_COUNT = 5;
 
   /** Reported start time of the first incarnation; each restart adds one. */
@@ -332,6 +336,10 @@
           sleep(SLOW_BLOCK_INTERVAL_MS);
         }
       }
+      case LARGE_BODY -> {
+        send(out, 200, echo + seal, "x".repeat(LARGE_BODY_BYTES));
+        return true;
+      }
       case STATUS_500 -> {
         send(out, 500, echo + seal, "the engine failed\n\nsorry");
         return true;
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/soak/PlannedStopTest.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/soak/PlannedStopTest.java
@@ -5,7 +5,9 @@
 import static org.awaitility.Awaitility.await;
 
 import java.io.IOException;
+import java.io.InputStream;
 import java.net.InetAddress;
+import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Path;
@@ -99,6 +101,25 @@
     assertThat(passedOn).isGreaterThan(0);
   }
 
+  /** LOST: connections were closed with answers that their callers had not taken yet. */
+  @Test
+  void answerOfASlowReaderIsWrittenBeforeTheExit() throws Exception {
+    plain.setLaterFaults(List.of(Fault.LARGE_BODY));
+    try (Socket socket = new Socket()) {
+      socket.setReceiveBufferSize(65_536);
+      socket.connect(new InetSocketAddress(InetAddress.getLoopbackAddress(), daemon.callerPort()));
+      socket.getOutputStream().write(head("/o/x", "large", 3_000));
+      InputStream in = socket.getInputStream();
+      assertThat(in.read()).isEqualTo('H');
+      daemon.signal("TERM");
+      TimeUnit.MILLISECONDS.sleep(GRACE_MS / 2);
+      String answer = "H" + new String(in.readAllBytes(), StandardCharsets.ISO_8859_1);
+      int bodyStart = answer.indexOf("\r\n\r\n") + 4;
+      assertThat(answer.length() - bodyStart).isEqualTo(StandinUpstream.LARGE_BODY_BYTES);
+    }
+    await().atMost(Duration.ofMillis(GRACE_MS)).until(() -> !daemon.isRunning());
+  }
+
   private boolean isReceived(String id) {
     return plain.received.stream()
         .anyMatch(request -> id.equals(request.get("x-limpetring-request-id")));
@@ -115,16 +136,8 @@
 
   /** Sends a request; returns its answer, or an empty text if the connection ends without one. */
   private static String request(String path, String id, Connection connection) {
-    String request =
-        "POST "
-            + path
-            + " HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Limpetring-Request-Id: "
-            + id
-            + "\r\nX-Limpetring-Request-Deadline: "
-            + TIMEOUT_MS
-            + "\r\nX-Limpetring-Key: k\r\nContent-Length: 0\r\n\r\n";
     try (Socket socket = connection.socket) {
-      socket.getOutputStream().write(request.getBytes(StandardCharsets.ISO_8859_1));
+      socket.getOutputStream().write(head(path, id, TIMEOUT_MS));
       byte[] buffer = new byte[4_096];
       int count = socket.getInputStream().read(buffer);
       return count < 0 ? "" : new String(buffer, 0, count, StandardCharsets.ISO_8859_1);
@@ -132,4 +145,15 @@
       return "";
     }
   }
+
+  private static byte[] head(String path, String id, long deadlineMs) {
+    return ("POST "
+            + path
+            + " HTTP/1.1\r\nHost: 127.0.0.1\r\nX-Limpetring-Request-Id: "
+            + id
+            + "\r\nX-Limpetring-Request-Deadline: "
+            + deadlineMs
+            + "\r\nX-Limpetring-Key: k\r\nContent-Length: 0\r\n\r\n")
+        .getBytes(StandardCharsets.ISO_8859_1);
+  }
 }
