A busy planner's announcement arrives whole

The planner counts as silent, another takes over and announces each of its 59 groups as opened, which makes its datagrams longer still. Without a planner all watches are linearizable, lagging daemons read the list again, and the shares of slots are old: refusals for want of a slot rise from 3 to 69 in half a second, at 39 and 23 groups that serve.

Cause: Netty receives datagrams of up to 2,048 bytes unless told otherwise and cuts off the rest. A planner's state with the load of 63 endpoints and a few opened groups is longer.

Change: datagrams of up to 16 KiB are received; a longer state is sent without its hints (opened and ending groups, crash evidence), which come by other ways too.

PeerLinkTest.stateOfAPlannerArrivesWhole failed with 63, 137 and 300 endpoints before, and stateOverTheSizeLimitArrivesWithoutHints too.

--- a/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerLink.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerLink.java
@@ -5,7 +5,9 @@
 import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.DatagramPacket;
 import io.netty.channel.socket.nio.NioDatagramChannel;
@@ -16,9 +18,17 @@
 import org.limpetring.base.LogEvent;
 import org.limpetring.entry.DecisionLog;
 
-/** Sends and receives datagrams between daemons. */
+/**
+ * Sends and receives datagrams between daemons.
+ *
+ * <p>Load pattern: a planner announces the load of a hundred endpoints or more to all daemons. Its
+ * state has to arrive whole, or it counts as silent and is replaced.
+ */
 public final class PeerLink {
 
+  /** Size limit of a datagram; several times the state of a planner with 300 endpoints. */
+  static final int MAX_DATAGRAM_BYTES = 16_384;
+
   private final EventLoop loop;
   private final DecisionLog log;
   private final BiConsumer<PeerState, InetSocketAddress> listener;
@@ -38,6 +48,9 @@
         new Bootstrap()
             .group(loop)
             .channel(NioDatagramChannel.class)
+            // the default receives 2,048 bytes and cuts off the rest
+            .option(
+                ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(MAX_DATAGRAM_BYTES))
             .handler(
                 new SimpleChannelInboundHandler<DatagramPacket>() {
                   @Override
@@ -74,6 +87,9 @@
       return;
     }
     byte[] bytes = state.encode();
+    if (bytes.length > MAX_DATAGRAM_BYTES) {
+      bytes = state.withoutHints().encode();
+    }
     for (InetSocketAddress address : addresses) {
       var unused =
           open.write(
--- a/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerState.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/peer/PeerState.java
@@ -115,6 +115,25 @@
     demands = List.copyOf(demands);
   }
 
+  /** This state without what a receiver learns from the store or from later announcements. */
+  PeerState withoutHints() {
+    return new PeerState(
+        name,
+        failureDomain,
+        sequence,
+        term,
+        isPlanner,
+        isStoreUnreachable,
+        isStopping,
+        revisions,
+        loads,
+        List.of(),
+        List.of(),
+        demands,
+        CrashEvidence.NONE,
+        fleet);
+  }
+
   /** Encodes this state as a datagram. */
   public byte[] encode() {
     try {
