--- a/limpet-base/src/main/java/org/limpetring/base/LogEvent.java
+++ b/limpet-base/src/main/java/org/limpetring/base/LogEvent.java
@@ -55,7 +55,8 @@
   UPSTREAM_EJECTED(4019, Logger.Level.WARN, "upstream fails too often, temporarily ejected"),
 
   HOSTS_COUNTED(4020, Logger.Level.INFO, "groups and spare hosts of a pool"),
-  UPSTREAMS_LISTED(4021, Logger.Level.INFO, "host list was read at the start"),
+  UPSTREAMS_LISTED(
+      4021, Logger.Level.INFO, "many upstreams were added to the host list or changed"),
 
   REQUEST_REFUSED(5001, Logger.Level.DEBUG, "request %s refused: %s"),
   REQUEST_FAILED(5002, Logger.Level.INFO, "request %s failed after dispatch: %s"),
--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryDaemon.java
@@ -255,9 +255,7 @@
 
     @Override
     public void onChanges(StoredObjects<Upstream> changes) {
-      for (StoredObject<Upstream> object : changes.objects()) {
-        view.onUpstream(object, upstreamWatcher.lastFailureMs());
-      }
+      view.onUpstreams(changes, upstreamWatcher.lastFailureMs());
       core.onUpstreamsChanged();
       groupManager.tick();
     }
--- a/limpet-entry/src/main/java/org/limpetring/entry/PlatformView.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/PlatformView.java
@@ -5,6 +5,7 @@
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import org.jspecify.annotations.Nullable;
 import org.limpetring.base.Clock;
@@ -51,6 +52,9 @@
     }
   }
 
+  /** Changes that arrive together and get a line each; a start brings a thousand. */
+  private static final int MAX_LOGGED_UPSTREAMS = 16;
+
   /** Retention of upstreams that are no longer listed; longer than most network partitions. */
   private static final long DEPARTED_RETENTION_MS = 30_000;
 
@@ -124,19 +128,13 @@
   }
 
   void onAllUpstreams(StoredObjects<Upstream> all, long lastFailureMs) {
-    // a start writes one line for the list, not one for each of a thousand upstreams
-    boolean isStart = upstreams.isEmpty();
     Set<String> listedIds = new HashSet<>();
     for (StoredObject<Upstream> object : all.objects()) {
       if (object.value() != null) {
         listedIds.add(object.name());
       }
-      onUpstream(object, lastFailureMs, isStart);
-    }
-    if (isStart) {
-      log.write(
-          LogEvent.UPSTREAMS_LISTED, "upstreams", upstreams.size(), "revision", all.revision());
     }
+    onUpstreams(all, lastFailureMs);
     for (String id : Set.copyOf(upstreams.keySet())) {
       UpstreamEntry listed = upstreams.get(id);
       if (!listedIds.contains(id) && listed != null && listed.revision <= all.revision()) {
@@ -145,51 +143,69 @@
     }
   }
 
-  void onUpstream(StoredObject<Upstream> object, long lastFailureMs) {
-    onUpstream(object, lastFailureMs, false);
+  /** Applies changes; writes one line for all of them if there are many. */
+  void onUpstreams(StoredObjects<Upstream> changes, long lastFailureMs) {
+    int news = 0;
+    for (StoredObject<Upstream> object : changes.objects()) {
+      boolean isNews = onUpstream(object, lastFailureMs);
+      if (isNews && ++news <= MAX_LOGGED_UPSTREAMS) {
+        logListed(object);
+      }
+    }
+    if (news > MAX_LOGGED_UPSTREAMS) {
+      log.write(
+          LogEvent.UPSTREAMS_LISTED,
+          "changed",
+          news,
+          "upstreams",
+          upstreams.size(),
+          "revision",
+          changes.revision());
+    }
   }
 
-  private void onUpstream(
-      StoredObject<Upstream> object, long lastFailureMs, boolean isPartOfStart) {
+  /** Applies a change; returns whether it is to be logged as one of a listed upstream. */
+  private boolean onUpstream(StoredObject<Upstream> object, long lastFailureMs) {
     Upstream next = object.value();
     if (next == null) {
       remove(object.name(), lastFailureMs, object.revision());
-      return;
+      return false;
     }
     UpstreamEntry previous = upstreams.get(object.name());
     if (previous != null && object.revision() < previous.revision) {
-      return;
+      return false;
     }
     if (previous != null
         && previous.upstream.equals(next)
         && previous.removeAtMs == Long.MAX_VALUE) {
-      return;
+      return false;
     }
     upstreams.put(object.name(), new UpstreamEntry(next, object.revision(), clock.nowMs()));
-    boolean isNews =
-        previous == null
-            || previous.upstream.isLeaving() != next.isLeaving()
-            || previous.upstream.startedAtMs() != next.startedAtMs();
-    if (isNews && !isPartOfStart) {
-      log.write(
-          LogEvent.UPSTREAM_LISTED,
-          "upstream",
-          next.id(),
-          "service",
-          next.service(),
-          "address",
-          next.address(),
-          "leaving",
-          next.isLeaving(),
-          "fabricDomain",
-          next.engine() == null ? "" : next.engine().fabricDomain(),
-          "coldLeftMs",
-          next.coldLeftMs(),
-          "born",
-          next.startedAtMs(),
-          "revision",
-          object.revision());
-    }
+    return previous == null
+        || previous.upstream.isLeaving() != next.isLeaving()
+        || previous.upstream.startedAtMs() != next.startedAtMs();
+  }
+
+  private void logListed(StoredObject<Upstream> object) {
+    Upstream listed = Objects.requireNonNull(object.value());
+    log.write(
+        LogEvent.UPSTREAM_LISTED,
+        "upstream",
+        listed.id(),
+        "service",
+        listed.service(),
+        "address",
+        listed.address(),
+        "leaving",
+        listed.isLeaving(),
+        "fabricDomain",
+        listed.engine() == null ? "" : listed.engine().fabricDomain(),
+        "coldLeftMs",
+        listed.coldLeftMs(),
+        "born",
+        listed.startedAtMs(),
+        "revision",
+        object.revision());
   }
 
   private void remove(String id, long lastFailureMs, long revision) {
--- a/limpet-entry/src/test/java/org/limpetring/entry/PlatformViewTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/PlatformViewTest.java
@@ -6,6 +6,7 @@
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.Objects;
+import java.util.stream.IntStream;
 import org.junit.jupiter.api.Test;
 import org.limpetring.base.ManualClock;
 import org.limpetring.entry.model.Upstream;
@@ -30,6 +31,10 @@
         List.of(ids).stream().map(id -> object(id, revision)).toList(), revision);
   }
 
+  private void change(StoredObject<Upstream> object, long lastFailureMs) {
+    view.onUpstreams(new StoredObjects<>(List.of(object), object.revision()), lastFailureMs);
+  }
+
   @Test
   void ignoresOlderConfigurations() {
     assertThat(view.onConfig(TestData.config(7), 1)).isTrue();
@@ -42,7 +47,7 @@
   @Test
   void removesAnUpstreamAtOnceWithoutStoreFailures() {
     view.onAllUpstreams(all(1, "a", "b"), NO_FAILURE);
-    view.onUpstream(new StoredObject<>("a", 2, null, true), NO_FAILURE);
+    change(new StoredObject<>("a", 2, null, true), NO_FAILURE);
     assertThat(view.upstream("a")).isNull();
     assertThat(view.upstream("b")).isNotNull();
   }
@@ -53,7 +58,7 @@
     view.onAllUpstreams(all(5), clock.nowMs() - 500);
     assertThat(view.upstream("a")).isNotNull();
     clock.advance(1_000);
-    view.onUpstream(object("a", 6), clock.nowMs());
+    change(object("a", 6), clock.nowMs());
     clock.advance(1_000);
     assertThat(view.removeExpired()).isTrue();
     assertThat(view.upstream("a")).isNotNull();
@@ -63,28 +68,31 @@
   @Test
   void anUnreadableEntryRemovesItsUpstream() {
     view.onAllUpstreams(all(1, "a", "b"), NO_FAILURE);
-    view.onUpstream(new StoredObject<>("a", 2, null, false), NO_FAILURE);
+    change(new StoredObject<>("a", 2, null, false), NO_FAILURE);
     assertThat(view.upstream("a")).isNull();
     assertThat(view.upstream("b")).isNotNull();
   }
 
   @Test
   void ignoresRemovalsOlderThanTheEntry() {
-    view.onUpstream(object("a", 9), NO_FAILURE);
-    view.onUpstream(new StoredObject<>("a", 8, null, true), NO_FAILURE);
+    change(object("a", 9), NO_FAILURE);
+    change(new StoredObject<>("a", 8, null, true), NO_FAILURE);
     view.onAllUpstreams(all(7), NO_FAILURE);
     assertThat(view.upstream("a")).isNotNull();
   }
 
-  /** Each start wrote a line for each upstream: a thousand lines, most of a start's log. */
+  /** A start wrote a line for each of a thousand upstreams, most of the log of a start. */
   @Test
-  void listOfAStartIsLoggedInOneLine() {
-    view.onAllUpstreams(all(1, "a", "b", "c"), NO_FAILURE);
-    view.onUpstream(object("d", 2), NO_FAILURE);
+  void manyChangesAreLoggedInOneLine() {
+    String[] ids = IntStream.range(0, 1_000).mapToObj(i -> "u" + i).toArray(String[]::new);
+    view.onAllUpstreams(all(1, ids), NO_FAILURE);
+    change(object("other", 2), NO_FAILURE);
     logWriter.flush();
-    assertThat(logged.toString(StandardCharsets.UTF_8).lines().map(PlatformViewTest::eventName))
-        .containsExactly("UPSTREAMS_LISTED", "UPSTREAM_LISTED")
-        .inOrder();
+    List<String> events =
+        logged.toString(StandardCharsets.UTF_8).lines().map(PlatformViewTest::eventName).toList();
+    assertThat(events).contains("UPSTREAMS_LISTED");
+    assertThat(events.size()).isAtMost(20);
+    assertThat(events.get(events.size() - 1)).isEqualTo("UPSTREAM_LISTED");
   }
 
   private static String eventName(String line) {
@@ -94,10 +102,10 @@
   @Test
   void departedUpstreamIsForgottenAfterItsRetention() {
     view.onAllUpstreams(all(1, "a", "b"), NO_FAILURE);
-    view.onUpstream(new StoredObject<>("a", 2, null, true), NO_FAILURE);
+    change(new StoredObject<>("a", 2, null, true), NO_FAILURE);
     clock.advance(20_000);
     view.removeExpired();
-    view.onUpstream(new StoredObject<>("b", 3, null, true), NO_FAILURE);
+    change(new StoredObject<>("b", 3, null, true), NO_FAILURE);
     clock.advance(10_001);
     view.removeExpired();
     assertThat(view.departed("a")).isNull();
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/StandinPlatform.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/StandinPlatform.java
@@ -7,6 +7,7 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.Objects;
@@ -16,6 +17,9 @@
 /** In-memory stand-in for the platform's store, with its published API and a switch to fail. */
 public final class StandinPlatform implements AutoCloseable {
 
+  /** Character that the store returns as bytes that are no UTF-8 text. */
+  public static final String UNREADABLE = "\uE0FF";
+
   private record Stored(String kind, String name, long revision, String spec, boolean isRemoved) {}
 
   private final HttpServer server;
@@ -156,7 +160,7 @@
   }
 
   private static void send(HttpExchange exchange, int status, String body) throws IOException {
-    byte[] bytes = body.getBytes(StandardCharsets.UTF_8);
+    byte[] bytes = withUnreadableBytes(body.getBytes(StandardCharsets.UTF_8));
     exchange.getResponseHeaders().set("Content-Type", "application/json");
     exchange.sendResponseHeaders(status, bytes.length);
     exchange.getResponseBody().write(bytes);
@@ -166,4 +170,15 @@
   public void close() {
     server.stop(0);
   }
+
+  /** Replaces {@link #UNREADABLE} with as many bytes that are no UTF-8 text. */
+  private static byte[] withUnreadableBytes(byte[] bytes) {
+    byte[] marker = UNREADABLE.getBytes(StandardCharsets.UTF_8);
+    for (int at = 0; at + marker.length <= bytes.length; at++) {
+      if (Arrays.equals(bytes, at, at + marker.length, marker, 0, marker.length)) {
+        Arrays.fill(bytes, at, at + marker.length, (byte) 0xFF);
+      }
+    }
+    return bytes;
+  }
 }
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
@@ -286,7 +286,11 @@
         entry.formatted(address, "4", "0", "1" + "0".repeat(30), "0"),
         entry.formatted("127.0.0.1:70000", "4", "0", "7", "0"),
         entry.formatted("127.0.0.1:-5", "4", "0", "7", "0"),
-        entry.formatted("999.0.0.1:80", "4", "0", "7", "0"));
+        entry.formatted("999.0.0.1:80", "4", "0", "7", "0"),
+        entry.formatted(StandinPlatform.UNREADABLE, "4", "0", "7", "0"),
+        entry.formatted(address, "4", "0", "7", '"' + StandinPlatform.UNREADABLE + '"'),
+        entry.formatted(address, "4", "0", "7", '"' + "\u0001\t" + '"'),
+        "{\"" + StandinPlatform.UNREADABLE + "\":" + nested + "}");
   }
 
   @Test
