--- a/limpet-base/src/main/java/org/limpetring/base/LogEvent.java
+++ b/limpet-base/src/main/java/org/limpetring/base/LogEvent.java
@@ -57,6 +57,9 @@
   HOSTS_COUNTED(4020, Logger.Level.INFO, "groups and spare hosts of a pool"),
   UPSTREAMS_LISTED(
       4021, Logger.Level.INFO, "many upstreams were added to the host list or changed"),
+  UPSTREAM_LEAVING(4022, Logger.Level.INFO, "upstream said in an answer that it leaves"),
+  UPSTREAM_PAUSED(4023, Logger.Level.INFO, "upstream wants no requests for some time"),
+  PAUSE_MALFORMED(4024, Logger.Level.WARN, "upstream asked for a pause that is no time, ignored"),
 
   REQUEST_REFUSED(5001, Logger.Level.DEBUG, "request %s refused: %s"),
   REQUEST_FAILED(5002, Logger.Level.INFO, "request %s failed after dispatch: %s"),
--- a/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/EntryCore.java
@@ -19,6 +19,7 @@
 import org.limpetring.entry.balancing.Endpoint;
 import org.limpetring.entry.balancing.RetryBudget;
 import org.limpetring.entry.balancing.ShutdownRule;
+import org.limpetring.entry.balancing.UpstreamPauses;
 import org.limpetring.entry.balancing.Verdict;
 import org.limpetring.entry.balancing.WaitQueue;
 import org.limpetring.entry.model.EntryConfig;
@@ -26,11 +27,13 @@
 import org.limpetring.entry.model.Limits;
 import org.limpetring.entry.model.Route;
 import org.limpetring.entry.model.ServiceSpec;
+import org.limpetring.entry.model.Upstream;
 import org.limpetring.entry.net.BufferBudget;
 import org.limpetring.entry.net.HttpConnectionPool;
 import org.limpetring.entry.net.SendFailure;
 import org.limpetring.entry.peer.PeerRegistry;
 import org.limpetring.entry.peer.PeerState;
+import org.limpetring.entry.port.Pause;
 import org.limpetring.entry.port.RequestFormat;
 import org.limpetring.entry.route.RouteTable;
 
@@ -75,6 +78,7 @@
       new BufferBudget(Runtime.getRuntime().maxMemory() / RESPONSE_BUFFERS_HEAP_DIVISOR);
   private final Quarantine quarantine;
   private final FleetDemand fleetDemand;
+  private final UpstreamPauses pauses = new UpstreamPauses();
   private final CallerPatience callerPatience = new CallerPatience();
   private final Map<String, WaitQueue<RequestFlow>> queues = new HashMap<>();
   private final Set<RequestFlow> flows = new HashSet<>();
@@ -237,7 +241,40 @@
   }
 
   private void refreshIndex() {
-    fleetDemand.shareNewSlots(index.refresh(table.config()));
+    List<Endpoint> added = index.refresh(table.config());
+    fleetDemand.shareNewSlots(added);
+    for (Endpoint endpoint : added) {
+      endpoint.pauseUntil(pauses.endMs(endpoint.upstream()));
+    }
+  }
+
+  /** An upstream said in an answer that it leaves: it gets no new requests. */
+  void onLeaving(Upstream upstream) {
+    if (view.onLeaving(upstream)) {
+      log.write(
+          LogEvent.UPSTREAM_LEAVING, "upstream", upstream.id(), "born", upstream.startedAtMs());
+      onUpstreamsChanged();
+    }
+  }
+
+  /** A rejection may ask for a pause of all requests to that incarnation of the upstream. */
+  void onPause(Endpoint from, Pause pause) {
+    if (pause instanceof Pause.None) {
+      return;
+    }
+    if (pause instanceof Pause.Malformed malformed) {
+      log.write(
+          LogEvent.PAUSE_MALFORMED, "upstream", from.upstream().id(), "value", malformed.value());
+      return;
+    }
+    long untilMs = nowMs() + ((Pause.For) pause).durationMs();
+    pauses.set(from.upstream(), untilMs);
+    for (Endpoint endpoint : index.all()) {
+      if (endpoint.upstream().incarnation().equals(from.upstream().incarnation())) {
+        endpoint.pauseUntil(untilMs);
+      }
+    }
+    log.write(LogEvent.UPSTREAM_PAUSED, "upstream", from.upstream().id(), "untilMs", untilMs);
   }
 
   // admission
@@ -530,6 +567,7 @@
     callerPatience.forgetBefore(nowMs() - CALLER_PATIENCE_TTL_MS);
     index.forgetEnded();
     quarantine.sweep();
+    pauses.forgetBefore(nowMs());
   }
 
   /** Loads of all endpoints that have requests of this daemon or are suspected. */
--- a/limpet-entry/src/main/java/org/limpetring/entry/PlatformView.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/PlatformView.java
@@ -68,6 +68,9 @@
   /** Upstreams that left the list recently; some are only cut off from the store. */
   private final Map<String, Departed> departed = new HashMap<>();
 
+  /** Incarnations that said in an answer that they leave; the list may not say so yet. */
+  private final Set<String> leavingIncarnations = new HashSet<>();
+
   private @Nullable EntryConfig config;
 
   /** Earliest time at which an entry may expire; the entries are not looked at before it. */
@@ -166,7 +169,7 @@
 
   /** Applies a change; returns whether it is to be logged as one of a listed upstream. */
   private boolean onUpstream(StoredObject<Upstream> object, long lastFailureMs) {
-    Upstream next = object.value();
+    Upstream next = withLeaving(object.value());
     if (next == null) {
       remove(object.name(), lastFailureMs, object.revision());
       return false;
@@ -186,6 +189,30 @@
         || previous.upstream.startedAtMs() != next.startedAtMs();
   }
 
+  private @Nullable Upstream withLeaving(@Nullable Upstream listed) {
+    return listed != null && leavingIncarnations.contains(listed.incarnation())
+        ? listed.asLeaving()
+        : listed;
+  }
+
+  /**
+   * An upstream said in an answer that it leaves, which holds for that incarnation whatever the
+   * list says; returns whether that is news.
+   */
+  boolean onLeaving(Upstream upstream) {
+    if (!leavingIncarnations.add(upstream.incarnation())) {
+      return false;
+    }
+    UpstreamEntry listed = upstreams.get(upstream.id());
+    if (listed != null && listed.upstream.incarnation().equals(upstream.incarnation())) {
+      UpstreamEntry leaving =
+          new UpstreamEntry(listed.upstream.asLeaving(), listed.revision, listed.sinceMs);
+      leaving.removeAtMs = listed.removeAtMs;
+      upstreams.put(upstream.id(), leaving);
+    }
+    return true;
+  }
+
   private void logListed(StoredObject<Upstream> object) {
     Upstream listed = Objects.requireNonNull(object.value());
     log.write(
@@ -240,6 +267,7 @@
       return false;
     }
     departed.values().removeIf(entry -> nowMs - entry.atMs() > DEPARTED_RETENTION_MS);
+    forgetEndedIncarnations();
     boolean isAnyRemoved = upstreams.values().removeIf(listed -> listed.removeAtMs <= nowMs);
     nextExpiryMs = Long.MAX_VALUE;
     for (UpstreamEntry listed : upstreams.values()) {
@@ -251,6 +279,13 @@
     return isAnyRemoved;
   }
 
+  private void forgetEndedIncarnations() {
+    Set<String> known = new HashSet<>();
+    upstreams.values().forEach(listed -> known.add(listed.upstream.incarnation()));
+    departed.values().forEach(entry -> known.add(entry.upstream().incarnation()));
+    leavingIncarnations.retainAll(known);
+  }
+
   void onAllDomainsOut(StoredObjects<String> all) {
     Set<String> next = new HashSet<>();
     for (StoredObject<String> object : all.objects()) {
--- a/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/RequestFlow.java
@@ -271,12 +271,16 @@
     // without an id, a late copy of an earlier response can't be told from this request's response
     boolean isOwn =
         responseId == null ? exchange != null && !exchange.isReused() : responseId.equals(id());
+    if (parsedHead.isLeaving() && parsedHead.status() != MISDIRECTED) {
+      core.onLeaving(currentEndpoint().upstream());
+    }
     if (!isOwn) {
       requestLog.mismatched(upstreamId(), responseId == null ? "" : responseId);
       return false;
     }
     responseHead = parsedHead;
     currentEndpoint().onProgress(core.nowMs());
+    core.onPause(currentEndpoint(), parsedHead.pause());
     return true;
   }
 
--- a/limpet-entry/src/main/java/org/limpetring/entry/balancing/Admission.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/balancing/Admission.java
@@ -15,7 +15,8 @@
  * while others could still be served on time, so it is refused with the expected time until a slot
  * frees up as its retry delay. A request that the caller retries after a refusal is late already
  * and may wait longer, but not while new requests are refused: they would go first until its time
- * is over.
+ * is over. While all endpoints pause at their own request, it waits only if it is still on time at
+ * the end of the first pause.
  *
  * <p>Where several daemons send to the same endpoints, each has a slightly outdated view of the
  * others' requests, and all of them would choose the endpoint that looked best in that view. So
@@ -76,6 +77,12 @@
     if (endpoints.isEmpty()) {
       return new Verdict.Refuse(NO_ENDPOINT_RETRY_MS, "no endpoint serves");
     }
+    long pauseMs = shortestPauseMs(endpoints, nowMs);
+    if (pauseMs > 0) {
+      return demand.isOnTimeAt(nowMs + pauseMs)
+          ? new Verdict.Wait(demand.onTimeDeadlineMs())
+          : new Verdict.Refuse(pauseMs, "all upstreams pause");
+    }
     double waitMs = expectedWaitMs(endpoints, context.ahead(), context.share(), nowMs);
     long retryAfterMs = clampRetryAfter(waitMs);
     if (demand.isCallerRetry() || !demand.isOnTimeAt(nowMs)) {
@@ -98,6 +105,15 @@
         : new Verdict.Refuse(retryAfterMs, "no slot on time");
   }
 
+  /** Time until the first of the endpoints takes requests again; 0 if any takes them now. */
+  private static long shortestPauseMs(List<Endpoint> endpoints, long nowMs) {
+    long shortestMs = Long.MAX_VALUE;
+    for (Endpoint endpoint : endpoints) {
+      shortestMs = Math.min(shortestMs, endpoint.pauseLeftMs(nowMs));
+    }
+    return shortestMs;
+  }
+
   /** Returns the free endpoint with the earliest first event in the random sample, or null. */
   private static @Nullable Endpoint selectBest(
       Demand demand, AdmissionContext context, long nowMs) {
--- a/limpet-entry/src/main/java/org/limpetring/entry/balancing/Endpoint.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/balancing/Endpoint.java
@@ -34,6 +34,12 @@
   /** Measured pass times are used for this long; after that the engine's configured figures are. */
   private static final long PASS_VALID_MS = 3_000;
 
+  /** End of a pause that never was. */
+  static final long NEVER_PAUSED_MS = Long.MIN_VALUE / 2;
+
+  /** Time after a pause within which requests return gradually. */
+  static final long RETURN_MS = 1_000;
+
   private final String key;
   private final Upstream upstream;
   private final @Nullable EngineSpec engine;
@@ -51,6 +57,7 @@
   private long lastProgressMs = Long.MIN_VALUE / 2;
   private long suspectedUntilMs = Long.MIN_VALUE / 2;
   private long fullUntilMs = Long.MIN_VALUE / 2;
+  private long pausedUntilMs = NEVER_PAUSED_MS;
 
   /**
    * Creates an endpoint without load.
@@ -113,12 +120,36 @@
 
   /** Whether a slot is free for another request of this daemon. */
   public boolean hasFreeSlot(long nowMs) {
-    return inFlight() < slots && ownInFlight < ownLimit && nowMs >= fullUntilMs;
+    return inFlight() < slots
+        && ownInFlight < ownLimit
+        && nowMs >= fullUntilMs
+        && ownInFlight < returnLimit(nowMs);
+  }
+
+  /**
+   * Requests in progress that are allowed at a time after a pause; all that wait would be one
+   * burst.
+   */
+  private long returnLimit(long nowMs) {
+    long sinceMs = nowMs - pausedUntilMs;
+    return sinceMs >= RETURN_MS ? Integer.MAX_VALUE : 1 + slots * Math.max(0, sinceMs) / RETURN_MS;
   }
 
-  /** Whether new requests may be sent here, which excludes suspected and ejected endpoints. */
+  /** Pauses new requests until {@code untilMs}, as the upstream asked for. */
+  public void pauseUntil(long untilMs) {
+    pausedUntilMs = untilMs;
+  }
+
+  /** Returns the time until the upstream takes requests again; 0 if it is not paused. */
+  public long pauseLeftMs(long nowMs) {
+    return Math.max(0, pausedUntilMs - nowMs);
+  }
+
+  /**
+   * Whether new requests may be sent here, which excludes suspected, ejected and paused endpoints.
+   */
   public boolean isUsable(long nowMs) {
-    return nowMs >= suspectedUntilMs && nowMs >= ejectedUntilMs;
+    return nowMs >= suspectedUntilMs && nowMs >= ejectedUntilMs && nowMs >= pausedUntilMs;
   }
 
   /** Called when the upstream rejected a request as full; pauses new requests for one pass. */
--- a/limpet-entry/src/main/java/org/limpetring/entry/model/Upstream.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/model/Upstream.java
@@ -27,6 +27,12 @@
     return engine == null ? null : engine.membership();
   }
 
+  /** Returns this entry as one that accepts no new requests. */
+  public Upstream asLeaving() {
+    return new Upstream(
+        id, service, address, failureDomain, slots, true, coldLeftMs, startedAtMs, engine);
+  }
+
   /** Returns an identifier of this incarnation of the upstream. */
   public String incarnation() {
     return id + "@" + startedAtMs;
--- a/limpet-entry/src/main/java/org/limpetring/entry/port/ResponseHead.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/port/ResponseHead.java
@@ -10,6 +10,8 @@
  * @param isNotExecuted whether the upstream reports that the request did not run
  * @param isSigned whether it carries the upstream's signature
  * @param faultyUpstream id of the member at fault, or null
+ * @param isLeaving whether the upstream reports that it accepts no new requests
+ * @param pause what a rejection says about later requests
  * @param isEventStream whether its body is a stream of events
  * @param headers headers to forward to the caller
  */
@@ -19,6 +21,8 @@
     boolean isNotExecuted,
     boolean isSigned,
     @Nullable String faultyUpstream,
+    boolean isLeaving,
+    Pause pause,
     boolean isEventStream,
     HttpHeaders headers) {
 
--- a/limpet-entry/src/test/java/org/limpetring/entry/PlatformViewTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/PlatformViewTest.java
@@ -115,6 +115,26 @@
     assertThat(view.departed("b")).isNull();
   }
 
+  /** DRAIN: what an upstream says in its answers holds though the list says otherwise. */
+  @Test
+  void leavingUpstreamStaysLeavingUntilItsIncarnationEnds() {
+    view.onAllUpstreams(all(1, "a", "b"), NO_FAILURE);
+    Upstream incarnation = Objects.requireNonNull(view.upstream("a"));
+    assertThat(view.onLeaving(incarnation)).isTrue();
+    assertThat(view.onLeaving(incarnation)).isFalse();
+    assertThat(Objects.requireNonNull(view.upstream("a")).isLeaving()).isTrue();
+    assertThat(Objects.requireNonNull(view.upstream("b")).isLeaving()).isFalse();
+    change(object("a", 2), NO_FAILURE);
+    view.onAllUpstreams(all(3, "a", "b"), NO_FAILURE);
+    assertThat(Objects.requireNonNull(view.upstream("a")).isLeaving()).isTrue();
+    change(new StoredObject<>("a", 4, null, true), NO_FAILURE);
+    change(object("a", 5), NO_FAILURE);
+    assertThat(Objects.requireNonNull(view.upstream("a")).isLeaving()).isTrue();
+    Upstream restarted = TestData.restarted(TestData.plain("a"));
+    change(new StoredObject<>("a", 6, restarted, false), NO_FAILURE);
+    assertThat(Objects.requireNonNull(view.upstream("a")).isLeaving()).isFalse();
+  }
+
   @Test
   void tracksFailureDomainsOutOfService() {
     view.onDomainOut(new StoredObject<>("a", 1, "a", false));
--- a/limpet-entry/src/test/java/org/limpetring/entry/TestData.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/TestData.java
@@ -72,6 +72,20 @@
     return new Upstream(id, "plain", address(2), "a", 6, false, 0, 1, null);
   }
 
+  /** The same upstream after a restart. */
+  public static Upstream restarted(Upstream upstream) {
+    return new Upstream(
+        upstream.id(),
+        upstream.service(),
+        upstream.address(),
+        upstream.failureDomain(),
+        upstream.slots(),
+        upstream.isLeaving(),
+        upstream.coldLeftMs(),
+        upstream.startedAtMs() + 1,
+        upstream.engine());
+  }
+
   /** Loopback address with a port. */
   public static InetSocketAddress address(int port) {
     return new InetSocketAddress(InetAddress.getLoopbackAddress(), port);
--- a/limpet-entry/src/test/java/org/limpetring/entry/balancing/AdmissionTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/balancing/AdmissionTest.java
@@ -70,6 +70,44 @@
     assertThat(verdict).isEqualTo(new Verdict.Send(near));
   }
 
+  @Test
+  void sendsNothingToAnUpstreamThatPauses() {
+    Endpoint paused = endpoint("paused", 0);
+    Endpoint other = endpoint("other", 12);
+    paused.pauseUntil(2_000);
+    assertThat(decide(demand(false), List.of(paused, other), 0)).isEqualTo(new Verdict.Send(other));
+  }
+
+  /** What can't be on time after the first pause is refused at once, with its end. */
+  @Test
+  void waitsForTheEndOfAPauseOnlyIfStillOnTime() {
+    Endpoint first = endpoint("first", 0);
+    Endpoint second = endpoint("second", 0);
+    first.pauseUntil(2_000);
+    second.pauseUntil(9_000);
+    assertThat(decide(demand(false), List.of(first, second), 0))
+        .isEqualTo(new Verdict.Refuse(2_000, "all upstreams pause"));
+    first.pauseUntil(200);
+    assertThat(decide(demand(false), List.of(first, second), 0)).isEqualTo(new Verdict.Wait(300));
+  }
+
+  /** Half of the upstreams pause in step: those that waited do not come back in one moment. */
+  @Test
+  void requestsReturnGraduallyAfterAPause() {
+    Endpoint endpoint = endpoint("paused", 0);
+    endpoint.pauseUntil(1_000);
+    List<Integer> inFlight = new ArrayList<>();
+    for (long nowMs = 900; nowMs <= 2_000; nowMs += 100) {
+      while (endpoint.isUsable(nowMs) && endpoint.hasFreeSlot(nowMs)) {
+        endpoint.onSent(10, nowMs);
+      }
+      inFlight.add(endpoint.ownInFlight());
+    }
+    assertThat(inFlight.subList(0, 3)).containsExactly(0, 1, 2).inOrder();
+    assertThat(inFlight).isInOrder();
+    assertThat(inFlight.get(inFlight.size() - 1)).isEqualTo(endpoint.slots());
+  }
+
   @Test
   void refusesWithRetryDelayWithoutEndpoints() {
     Verdict verdict = decide(demand(false), List.of(), 0);
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/StandinUpstream.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/StandinUpstream.java
@@ -37,6 +37,10 @@
     /** Reads the request and never answers. */
     SILENT,
     NOT_EXECUTED,
+    /** A rejection that asks for a pause of 1.5 s. */
+    PAUSE,
+    /** A complete answer that says that the upstream leaves. */
+    LEAVING,
     NO_SEAL,
     OTHER_REQUESTS_RESPONSE_FIRST,
     RESPONSE_WITHOUT_ID_FIRST,
@@ -288,7 +292,7 @@
     if (injected.isForResumedRuns() && !request.containsKey("last-event-id")) {
       injected = Fault.NONE;
     }
-    if (injected != Fault.NOT_EXECUTED) {
+    if (injected != Fault.NOT_EXECUTED && injected != Fault.PAUSE) {
       executed.add(request);
     }
     if (hasDeadlyPart(request)) {
@@ -309,6 +313,14 @@
         send(out, 503, echo + "X-Limpetring-Not-Executed: 1\r\n", "");
         return true;
       }
+      case PAUSE -> {
+        send(out, 503, echo + "X-Limpetring-Not-Executed: 1\r\nRetry-After: 1.5\r\n", "");
+        return true;
+      }
+      case LEAVING -> {
+        send(out, 200, echo + seal + "Server-Leaving: 1\r\n", "answer of " + id);
+        return true;
+      }
       case NO_SEAL -> {
         send(out, 200, echo, "unsigned");
         return true;
--- a/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/WholePathTest.java
@@ -184,6 +184,37 @@
     await().atMost(Duration.ofSeconds(2)).until(() -> send("/r/x", "k").statusCode() == 200);
   }
 
+  /** DRAIN: the answer says that the upstream leaves, the list doesn't yet. */
+  @Test
+  void upstreamThatLeavesByItsAnswerReceivesNoNewRequests() throws Exception {
+    plainFault.set(Fault.LEAVING);
+    HttpResponse<String> last = send("/r/x", "k");
+    assertThat(last.body()).isEqualTo("answer of p-1");
+    assertThat(last.headers().firstValue("Server-Leaving")).hasValue("1");
+    plain.received.clear();
+    for (int i = 0; i < 20; i++) {
+      assertThat(send("/r/x", "k").statusCode()).isEqualTo(503);
+    }
+    assertThat(plain.received).isEmpty();
+  }
+
+  /** BUDGET: two requests may still come within the pause, for those that were on their way. */
+  @Test
+  void upstreamThatAsksForAPauseGetsOne() throws Exception {
+    plainFault.set(Fault.PAUSE);
+    long startNs = System.nanoTime();
+    assertThat(send("/o/x", "k").statusCode()).isEqualTo(503);
+    plain.received.clear();
+    while (System.nanoTime() - startNs < TimeUnit.MILLISECONDS.toNanos(1_400)) {
+      HttpResponse<String> rejected = send("/o/x", "k");
+      if (System.nanoTime() - startNs < TimeUnit.MILLISECONDS.toNanos(1_400)) {
+        assertThat(rejected.statusCode()).isAnyOf(429, 503);
+        assertThat(plain.received).isEmpty();
+      }
+    }
+    await().atMost(Duration.ofSeconds(2)).until(() -> send("/r/x", "k").statusCode() == 200);
+  }
+
   /** A stream has begun and breaks; what the next engine answers must not get into it. */
   @ParameterizedTest
   @EnumSource(
