--- a/limpet-entry/src/main/java/org/limpetring/entry/PlatformView.java
+++ b/limpet-entry/src/main/java/org/limpetring/entry/PlatformView.java
@@ -65,6 +65,9 @@
   private final Map<String, UpstreamEntry> upstreams = new HashMap<>();
   private final Set<String> domainsOut = new HashSet<>();
 
+  /** Revision of the last change of each failure domain that was ever out of service. */
+  private final Map<String, Long> domainRevisions = new HashMap<>();
+
   /** Upstreams that left the list recently; some are only cut off from the store. */
   private final Map<String, Departed> departed = new HashMap<>();
 
@@ -290,22 +293,28 @@
     Set<String> next = new HashSet<>();
     for (StoredObject<String> object : all.objects()) {
       next.add(object.name());
+      onDomainOut(object);
     }
     for (String name : Set.copyOf(domainsOut)) {
       if (!next.contains(name)) {
         setOut(name, false, all.revision());
       }
     }
-    for (String name : next) {
-      setOut(name, true, all.revision());
-    }
   }
 
   void onDomainOut(StoredObject<String> object) {
     setOut(object.name(), !object.isRemoved(), object.revision());
   }
 
+  /** Applies a change unless a newer one is known: stale watches return what lists have passed. */
   private void setOut(String name, boolean isOut, long revision) {
+    long knownRevision = domainRevisions.getOrDefault(name, Long.MIN_VALUE);
+    // the removal of an entry may carry the revision of the entry's last change
+    boolean isOlder = isOut ? revision <= knownRevision : revision < knownRevision;
+    if (isOlder) {
+      return;
+    }
+    domainRevisions.put(name, revision);
     boolean isNews = isOut ? domainsOut.add(name) : domainsOut.remove(name);
     if (isNews) {
       log.write(
--- a/limpet-entry/src/test/java/org/limpetring/entry/PlatformViewTest.java
+++ b/limpet-entry/src/test/java/org/limpetring/entry/PlatformViewTest.java
@@ -135,6 +135,29 @@
     assertThat(Objects.requireNonNull(view.upstream("a")).isLeaving()).isFalse();
   }
 
+  /** EVAC: a domain went out, in and out again; the late removal put it back into service. */
+  @Test
+  void lateChangesOfAFailureDomainDoNotUndoNewerOnes() {
+    StoredObject<String> firstOut = new StoredObject<>("a", 3, "a", false);
+    StoredObject<String> secondOut = new StoredObject<>("a", 6, "a", false);
+    for (long removalRevision : List.of(3L, 5L)) {
+      PlatformView late = new PlatformView(clock, logWriter);
+      StoredObject<String> removal = new StoredObject<>("a", removalRevision, null, true);
+      late.onDomainOut(firstOut);
+      late.onAllDomainsOut(new StoredObjects<>(List.of(secondOut), 7));
+      late.onDomainOut(removal);
+      assertThat(late.domainsOut()).containsExactly("a");
+      late.onAllDomainsOut(new StoredObjects<>(List.of(), 9));
+      assertThat(late.domainsOut()).isEmpty();
+      late.onDomainOut(secondOut);
+      assertThat(late.domainsOut()).isEmpty();
+      late.onDomainOut(new StoredObject<>("a", 12, "a", false));
+      assertThat(late.domainsOut()).containsExactly("a");
+      late.onDomainOut(new StoredObject<>("a", 12, null, true));
+      assertThat(late.domainsOut()).isEmpty();
+    }
+  }
+
   @Test
   void tracksFailureDomainsOutOfService() {
     view.onDomainOut(new StoredObject<>("a", 1, "a", false));
