PlannedStopTest waits until the daemon has taken notice of the signal

What is read before the stop begins is accepted as ever; from PROCESS_STOPPING in the daemon's log on, the check is as it was.

--- a/limpet-entryd/src/test/java/org/limpetring/entryd/soak/PlannedStopTest.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/soak/PlannedStopTest.java
@@ -10,6 +10,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.time.Duration;
 import java.util.ArrayList;
@@ -40,6 +41,7 @@
   private StandinPlatform store;
   private StandinUpstream plain;
   private DaemonProcess daemon;
+  private Path log;
 
   @BeforeEach
   void start(@TempDir Path directory) throws IOException {
@@ -47,6 +49,7 @@
     store.put("config", "main", StandinConfig.json(3, "k", 4, TIMEOUT_MS));
     plain = new StandinUpstream("p-1", "plain", false, store, new AtomicReference<>(Fault.NONE));
     plain.setSlots(100);
+    log = directory.resolve("d1.log");
     daemon = new DaemonProcess("d1", directory, store.address().getPort());
     await()
         .atMost(Duration.ofSeconds(20))
@@ -82,6 +85,11 @@
       connections.add(new Connection());
     }
     daemon.signal("TERM");
+    // the signal is handled a moment later; what is read before that is accepted as ever
+    await()
+        .atMost(Duration.ofSeconds(2))
+        .pollInterval(Duration.ofMillis(5))
+        .until(() -> Files.readString(log).contains("PROCESS_STOPPING"));
     List<CompletableFuture<String>> answers = new ArrayList<>();
     for (int i = 0; i < connections.size(); i += 2) {
       answers.add(send("/r/x", i, connections.get(i)));
