--- a/limpet-entryd/src/test/java/org/limpetring/entryd/soak/DaemonProcess.java
+++ b/limpet-entryd/src/test/java/org/limpetring/entryd/soak/DaemonProcess.java
@@ -29,6 +29,7 @@
   private final Path directory;
   private final int callerPort;
   private Process process;
+  private volatile boolean isStopping;
 
   DaemonProcess(String name, Path directory, int storePort) throws IOException {
     this.name = name;
@@ -79,7 +80,13 @@
     return process.isAlive();
   }
 
+  /** Whether a planned stop was begun after which the daemon was not started again. */
+  boolean isStopping() {
+    return isStopping;
+  }
+
   void signal(String signal) throws IOException, InterruptedException {
+    isStopping = isStopping || signal.equals("TERM");
     new ProcessBuilder(List.of("kill", "-" + signal, Long.toString(process.pid())))
         .start()
         .waitFor(2, TimeUnit.SECONDS);
@@ -92,6 +99,7 @@
   void restartIfExited() throws IOException {
     if (!process.isAlive()) {
       process = launch();
+      isStopping = false;
     }
   }
 
