Review: an entry without start time and group frees an open head's members

Another writer's entry under the id of an open head lacks the fields born and group. The planner takes that for a restart, releases the group without an order to leave, and orders the members to join another group while the head is open and works on requests.

--- a/review/kit/Runner.java
+++ b/review/kit/Runner.java
@@ -30,10 +30,10 @@
   private ServerSocket server;
   private long sequence;
   private long highestEpoch;
-  private String group;
-  private long epoch;
+  private volatile String group;
+  private volatile long epoch;
   private List<Object> members = List.of();
-  private String state;
+  private volatile String state;
   private String model;
   private String lastModel;
   private final List<Object> staged = new ArrayList<>();
@@ -45,6 +45,16 @@
   /** Factor of the times that loads and joins take; runners of one service differ in speed. */
   public volatile double pace = 1;
 
+  private static final Map<String, Runner> BY_ID = new java.util.concurrent.ConcurrentHashMap<>();
+
+  /** Called when this runner takes a join of another group: its group, the head and its state. */
+  public interface JoinListener {
+    void onLeftBehind(Runner runner, String group, Runner head, String headState);
+  }
+
+  /** Receives each join that is taken while the head of the runner's group is open or closing. */
+  public static volatile JoinListener joinListener = (runner, group, head, headState) -> {};
+
   private volatile boolean isDraining;
 
   /** Reports that it leaves; the answer of the store is the acknowledgement. */
@@ -96,6 +106,7 @@
 
   public void start(String ip) throws Exception {
     server = Http.serve(ip, 0, this::handle);
+    BY_ID.put(id, this);
     beat();
     Http.daemonThread(
         () -> {
@@ -159,6 +170,11 @@
     onBeat.run();
   }
 
+  /** Number of requests that the runner works on. */
+  public int running() {
+    return running.get();
+  }
+
   public synchronized String state() {
     return state;
   }
@@ -303,6 +319,7 @@
     }
     sequence++;
     highestEpoch = namedEpoch;
+    reportIfLeftBehind();
     group = named;
     epoch = namedEpoch;
     members = list;
@@ -324,6 +341,18 @@
     return 202;
   }
 
+  private void reportIfLeftBehind() {
+    Runner head = members.isEmpty() || group == null ? null : BY_ID.get(members.get(0));
+    if (head == null) {
+      return;
+    }
+    // read without the head's lock, as two heads may take joins at once
+    String headState = head.state;
+    if (group.equals(head.group) && epoch == head.epoch && ("open".equals(headState) || "closing".equals(headState))) {
+      joinListener.onLeftBehind(this, group + "/" + epoch, head, headState);
+    }
+  }
+
   private void become(String next) {
     state = next;
     if (next.equals("ready")) {
